--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,8 +6,8 @@
 	"io"
 	"os"
 
-	"marlcove/internal/wire"
-	"marlcove/rules"
+	"spantack/internal/wire"
+	"spantack/rules"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"marlcove/rules"
+	"spantack/rules"
 )
 
 // Item is one event on the wire: a start, a stop, or an event for a running instance.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"marlcove/rules"
+	"spantack/rules"
 )
 
 func TestRead(t *testing.T) {
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"marlcove/rules"
+	"spantack/rules"
 )
 
 // A router is told its servers, takes a request, and says where it goes and where a miss is filled from.
