--- /dev/null
+++ b/cmd/spantack/main.go
@@ -0,0 +1,142 @@
+// Command spantack is one request router: clients on one side, depot caches, parents and the origin on the other,
+// and the decision module of package rules between them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"spantack/internal/board"
+	"spantack/internal/clock"
+	"spantack/internal/config"
+	"spantack/internal/msgpackrpc"
+	"spantack/internal/resp"
+	"spantack/internal/router"
+)
+
+const (
+	// stayOpen is how long after SIGTERM connections and requests are still taken, in milliseconds.
+	stayOpen = 800
+	// memoryShare of the limit is what Go's heap keeps under; the rest is for stacks, buffers and the kernel.
+	memoryShare = 0.7
+	// queueShare of the limit is what answers waiting for clients may hold.
+	queueShare = 0.25
+	// clientShare of the descriptors is for clients; the platform gives them no more.
+	clientShare = 3
+	// spareSockets are for the listener, the board, logs and connections on their way out.
+	spareSockets = 48
+)
+
+func main() {
+	c, err := config.Load(os.Getenv)
+	if err == nil {
+		err = run(c)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "spantack:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
+func run(c *config.Config) error {
+	runtime.GOMAXPROCS(1) // routers share one core: more threads would only take turns on it
+	debug.SetMemoryLimit(int64(memoryShare * c.MemoryMB * (1 << 20)))
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("router", c.Name).Logger()
+
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// serving ends when the last request has its answer; accepting ends a while after the signal.
+	serving, served := context.WithCancel(context.Background())
+	defer served()
+	accepting, stopAccepting := context.WithCancel(serving)
+	defer stopAccepting()
+
+	now := &clock.Clock{}
+	clients := c.Sockets / clientShare
+	pools := resp.NewPools(serving, resp.Options{DialTimeout: c.DialTimeout, IdleClose: c.IdleClose,
+		MaxStreams: c.MaxStreams, MostConns: c.Sockets - clients - spareSockets, MostWait: c.MostWait}, now, log)
+	core, err := router.New(c.Settings, c.Seed, now, pools, log)
+	if err != nil {
+		return err
+	}
+	apply := func(n router.Notice) {
+		pools.Apply(n)
+		core.Apply(n)
+	}
+	keyed := map[string]bool{}
+	for _, class := range c.Settings.Classes {
+		keyed[class.Name] = class.Idempotency == "idempotency_key"
+	}
+	var ready atomic.Bool
+	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: int64(clients),
+		MostQueued: int64(queueShare * c.MemoryMB * (1 << 20)), Patience: c.Longest, Clock: now, Log: log}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("RELAY_LISTEN: %w", err)
+	}
+	for _, n := range c.Notices {
+		apply(n)
+	}
+	ready.Store(true)
+	log.Info().Str("listen", c.Listen).Uint64("known", c.Last).Msg("serving")
+
+	follower := &board.Follower{Addr: c.Board, Names: c.Names, Last: c.Last, Apply: apply, Log: log}
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return follower.Run(serving) })
+	group.Go(func() error { return report(serving, core, log) })
+	group.Go(func() error {
+		select {
+		case <-signals.Done():
+		case <-serving.Done():
+			return nil
+		}
+		log.Info().Msg("stopping")
+		now.AfterFunc(stayOpen, stopAccepting)
+		return nil
+	})
+	group.Go(func() error {
+		defer served()
+		return server.Serve(accepting, listener)
+	})
+	err = group.Wait()
+	counters(core, log)
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return err
+}
+
+// report prints the counters on SIGUSR1.
+func report(ctx context.Context, core *router.Router, log zerolog.Logger) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-asked:
+			counters(core, log)
+		}
+	}
+}
+
+func counters(core *router.Router, log zerolog.Logger) {
+	n := &core.Counters
+	log.Info().Int64("taken", n.Taken.Load()).Int64("sent", n.Sent.Load()).Int64("served", n.Served.Load()).
+		Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).Int64("gone", n.Gone.Load()).
+		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Msg("counters")
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,171 @@
+// Package config reads and checks what a request router is told at its start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"spantack/internal/board"
+	"spantack/internal/clock"
+	"spantack/internal/router"
+	"spantack/rules"
+)
+
+// Config is a checked configuration. Times are milliseconds.
+type Config struct {
+	Name   string
+	Listen string
+	Board  string
+	Seed   int64
+
+	MemoryMB float64
+	Sockets  int
+
+	Settings    rules.Settings
+	DialTimeout float64
+	IdleClose   float64
+	MaxStreams  int
+	MostWait    float64 // the least time after which a drain or purge binds
+	Longest     float64 // the longest deadline of a class
+
+	Last    uint64 // number of the last event of Notices
+	Notices []router.Notice
+	Names   board.Names
+}
+
+type document struct {
+	Name   string
+	Seed   string
+	Limits struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Board    string
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// transport holds the settings that the decision module has no use for.
+type transport struct {
+	Permissions struct {
+		IdleClose  int64
+		MaxStreams int
+	}
+}
+
+const (
+	leastSockets = 64
+	leastMemory  = 32
+	// idleUnsaid is the idle close where the settings name none: 30 s, in microseconds.
+	idleUnsaid = 30_000_000
+)
+
+// Load reads the environment and the file that it names.
+func Load(getenv func(string) string) (*Config, error) {
+	for _, name := range []string{"RELAY_NAME", "RELAY_LISTEN", "RELAY_CONFIG"} {
+		if getenv(name) == "" {
+			return nil, fmt.Errorf("%s: missing", name)
+		}
+	}
+	text, err := os.ReadFile(getenv("RELAY_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	c.Name, c.Listen = getenv("RELAY_NAME"), getenv("RELAY_LISTEN")
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("RELAY_LISTEN: %w", err)
+	}
+	return c, nil
+}
+
+// Parse reads the configuration's JSON. An error names the field at fault.
+func Parse(text []byte) (*Config, error) {
+	var d document
+	if err := decode("RELAY_CONFIG", text, &d); err != nil {
+		return nil, err
+	}
+	c := &Config{Board: d.Board, MemoryMB: d.Limits.MemoryMB, Sockets: d.Limits.Sockets}
+	seed, err := strconv.ParseUint(d.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	c.Seed = int64(seed)
+	if _, err := netip.ParseAddrPort(d.Board); err != nil {
+		return nil, fmt.Errorf("board: %w", err)
+	}
+	switch {
+	case c.MemoryMB < leastMemory:
+		return nil, fmt.Errorf("limits.memory_mb: %v is under %d", c.MemoryMB, leastMemory)
+	case c.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
+	case d.Settings == nil:
+		return nil, errors.New("settings: missing")
+	case d.Known == nil:
+		return nil, errors.New("known: missing")
+	}
+	if err := c.settings(d.Settings); err != nil {
+		return nil, err
+	}
+	if c.Last, c.Notices, err = board.ParseKnown(d.Known, c.Names); err != nil {
+		return nil, fmt.Errorf("known.%w", err)
+	}
+	return c, nil
+}
+
+func (c *Config) settings(text []byte) error {
+	var t transport
+	if err := decode("settings", text, &c.Settings); err != nil {
+		return err
+	}
+	if err := decode("settings", text, &t); err != nil {
+		return err
+	}
+	set := &c.Settings
+	if t.Permissions.IdleClose == 0 {
+		t.Permissions.IdleClose = idleUnsaid
+	}
+	switch {
+	case set.Permissions.DialTimeout <= 0:
+		return errors.New("settings.Permissions.DialTimeout: must be positive")
+	case t.Permissions.IdleClose < 0:
+		return errors.New("settings.Permissions.IdleClose: must be positive")
+	case t.Permissions.MaxStreams <= 0:
+		return errors.New("settings.Permissions.MaxStreams: must be positive")
+	case len(set.Zones) == 0:
+		return errors.New("settings.Zones: none")
+	}
+	c.DialTimeout = clock.Millis(set.Permissions.DialTimeout)
+	c.IdleClose = clock.Millis(t.Permissions.IdleClose)
+	c.MaxStreams = t.Permissions.MaxStreams
+	c.Names = board.Names{Zones: set.Zones, Kinds: set.Kinds}
+	for _, us := range []int64{set.Guarantees.StopSendingWithin, set.Extra.HeedWithin} {
+		if ms := clock.Millis(us); us > 0 && (c.MostWait == 0 || ms < c.MostWait) {
+			c.MostWait = ms
+		}
+	}
+	for _, class := range set.Classes {
+		c.Longest = max(c.Longest, clock.Millis(class.Deadline))
+	}
+	return nil
+}
+
+// decode names the field that holds a value of the wrong type.
+func decode(what string, text []byte, into any) error {
+	err := json.Unmarshal(text, into)
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return fmt.Errorf("%s.%s: a %s does not fit", what, wrong.Field, wrong.Value)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", what, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/msgpackrpc/codec.go
@@ -0,0 +1,233 @@
+// Package msgpackrpc serves clients: MessagePack-RPC over TCP, many requests open on one connection, answers in any
+// order.
+package msgpackrpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+)
+
+// The most that a message may hold; lengths are checked before anything is allocated.
+const (
+	maxBytes = 64 << 10
+	maxItems = 64
+	maxDepth = 6
+	maxTotal = 128 << 10
+)
+
+var errMalformed = errors.New("malformed message")
+
+// decoder reads one message; left is what it may still take.
+type decoder struct {
+	in   *bufio.Reader
+	left int
+}
+
+// readMessage reads one MessagePack value: nil, bool, int64, uint64, float64, string, []byte, []any or
+// map[string]any.
+func readMessage(in *bufio.Reader) (any, error) {
+	d := decoder{in: in, left: maxTotal}
+	return d.value(0)
+}
+
+func (d *decoder) take(n int) ([]byte, error) {
+	if n > maxBytes || n > d.left {
+		return nil, fmt.Errorf("%w: %d bytes are too many", errMalformed, n)
+	}
+	d.left -= n
+	b := make([]byte, n)
+	if _, err := io.ReadFull(d.in, b); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return b, nil
+}
+
+// uint reads a big-endian number of n bytes.
+func (d *decoder) uint(n int) (uint64, error) {
+	b, err := d.take(n)
+	if err != nil {
+		return 0, err
+	}
+	var wide [8]byte
+	copy(wide[8-n:], b)
+	return binary.BigEndian.Uint64(wide[:]), nil
+}
+
+func (d *decoder) value(depth int) (any, error) {
+	if depth > maxDepth {
+		return nil, fmt.Errorf("%w: nested too deep", errMalformed)
+	}
+	b, err := d.in.ReadByte()
+	if err != nil {
+		if err == io.EOF && depth > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	switch {
+	case b < 0x80:
+		return int64(b), nil
+	case b < 0x90:
+		return d.object(int(b&0x0f), depth)
+	case b < 0xa0:
+		return d.array(int(b&0x0f), depth)
+	case b < 0xc0:
+		return d.text(int(b & 0x1f))
+	case b >= 0xe0:
+		return int64(int8(b)), nil
+	}
+	switch b {
+	case 0xc0:
+		return nil, nil
+	case 0xc2, 0xc3:
+		return b == 0xc3, nil
+	case 0xc4, 0xc5, 0xc6:
+		n, err := d.length(1 << (b - 0xc4))
+		if err != nil {
+			return nil, err
+		}
+		return d.take(n)
+	case 0xca:
+		v, err := d.uint(4)
+		return float64(math.Float32frombits(uint32(v))), err
+	case 0xcb:
+		v, err := d.uint(8)
+		return math.Float64frombits(v), err
+	case 0xcc, 0xcd, 0xce, 0xcf:
+		return d.uint(1 << (b - 0xcc))
+	case 0xd0, 0xd1, 0xd2, 0xd3:
+		size := 1 << (b - 0xd0)
+		v, err := d.uint(size)
+		shift := 64 - 8*size
+		return int64(v<<shift) >> shift, err
+	case 0xd9, 0xda, 0xdb:
+		n, err := d.length(1 << (b - 0xd9))
+		if err != nil {
+			return nil, err
+		}
+		return d.text(n)
+	case 0xdc, 0xdd:
+		n, err := d.length(2 << (b - 0xdc))
+		if err != nil {
+			return nil, err
+		}
+		return d.array(n, depth)
+	case 0xde, 0xdf:
+		n, err := d.length(2 << (b - 0xde))
+		if err != nil {
+			return nil, err
+		}
+		return d.object(n, depth)
+	}
+	return nil, fmt.Errorf("%w: type %#x", errMalformed, b)
+}
+
+func (d *decoder) length(size int) (int, error) {
+	n, err := d.uint(size)
+	if n > maxBytes {
+		return 0, fmt.Errorf("%w: length %d", errMalformed, n)
+	}
+	return int(n), err
+}
+
+func (d *decoder) text(n int) (any, error) {
+	b, err := d.take(n)
+	return string(b), err
+}
+
+func (d *decoder) array(n, depth int) (any, error) {
+	if n > maxItems {
+		return nil, fmt.Errorf("%w: array of %d", errMalformed, n)
+	}
+	list := make([]any, n)
+	for i := range list {
+		v, err := d.value(depth + 1)
+		if err != nil {
+			return nil, err
+		}
+		list[i] = v
+	}
+	return list, nil
+}
+
+func (d *decoder) object(n, depth int) (any, error) {
+	if n > maxItems {
+		return nil, fmt.Errorf("%w: map of %d", errMalformed, n)
+	}
+	m := make(map[string]any, n)
+	for range n {
+		k, err := d.value(depth + 1)
+		if err != nil {
+			return nil, err
+		}
+		name, ok := k.(string)
+		if !ok {
+			return nil, fmt.Errorf("%w: a map key is no string", errMalformed)
+		}
+		if m[name], err = d.value(depth + 1); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func appendUint(buf []byte, v uint64) []byte {
+	switch {
+	case v < 0x80:
+		return append(buf, byte(v))
+	case v <= math.MaxUint8:
+		return append(buf, 0xcc, byte(v))
+	case v <= math.MaxUint16:
+		return binary.BigEndian.AppendUint16(append(buf, 0xcd), uint16(v))
+	case v <= math.MaxUint32:
+		return binary.BigEndian.AppendUint32(append(buf, 0xce), uint32(v))
+	}
+	return binary.BigEndian.AppendUint64(append(buf, 0xcf), v)
+}
+
+func appendString(buf []byte, s string) []byte {
+	if len(s) < 32 {
+		return append(append(buf, 0xa0|byte(len(s))), s...)
+	}
+	return append(binary.BigEndian.AppendUint16(append(buf, 0xda), uint16(len(s))), s...)
+}
+
+func appendBinHead(buf []byte, n int) []byte {
+	if n <= math.MaxUint8 {
+		return append(buf, 0xc4, byte(n))
+	}
+	return binary.BigEndian.AppendUint32(append(buf, 0xc6), uint32(n))
+}
+
+// appendFields adds a map of strings to strings: names and values in turn.
+func appendFields(buf []byte, pairs ...string) []byte {
+	buf = append(buf, 0x80|byte(len(pairs)/2))
+	for _, s := range pairs {
+		buf = appendString(buf, s)
+	}
+	return buf
+}
+
+const (
+	kindRequest = 0
+	kindAnswer  = 1
+	kindNotify  = 2
+)
+
+// appendResult begins an answer without error.
+func appendResult(buf []byte, id uint64) []byte {
+	return append(appendUint(append(buf, 0x94, kindAnswer), id), 0xc0)
+}
+
+// appendError adds a whole answer with an error: its word and fields.
+func appendError(buf []byte, id uint64, word string, pairs ...string) []byte {
+	buf = appendString(append(appendUint(append(buf, 0x94, kindAnswer), id), 0x92), word)
+	return append(appendFields(buf, pairs...), 0xc0)
+}
--- /dev/null
+++ b/internal/msgpackrpc/request.go
@@ -0,0 +1,126 @@
+package msgpackrpc
+
+import (
+	"fmt"
+	"strconv"
+
+	"spantack/internal/router"
+)
+
+// message is a request or notification as it came.
+type message struct {
+	kind   int64
+	id     uint64
+	method string
+	params []any
+}
+
+// parseMessage checks the frame alone; what the parameters hold is checked where they are used.
+func parseMessage(v any) (m message, err error) {
+	list, _ := v.([]any)
+	if len(list) < 3 {
+		return m, fmt.Errorf("%w: no request", errMalformed)
+	}
+	kind, kindOK := list[0].(int64)
+	m.kind = kind
+	rest := list[1:]
+	switch {
+	case kindOK && kind == kindRequest && len(list) == 4:
+		id, ok := toUint(list[1])
+		if !ok {
+			return m, fmt.Errorf("%w: message id", errMalformed)
+		}
+		m.id, rest = id, list[2:]
+	case kindOK && kind == kindNotify && len(list) == 3:
+	default:
+		return m, fmt.Errorf("%w: no request", errMalformed)
+	}
+	method, methodOK := rest[0].(string)
+	params, paramsOK := rest[1].([]any)
+	if !methodOK || !paramsOK {
+		return m, fmt.Errorf("%w: method or parameters", errMalformed)
+	}
+	m.method, m.params = method, params
+	return m, nil
+}
+
+func toUint(v any) (uint64, bool) {
+	switch n := v.(type) {
+	case uint64:
+		return n, true
+	case int64:
+		return uint64(n), n >= 0
+	}
+	return 0, false
+}
+
+const (
+	longestToken = 64
+	longestAllow = 3.6e6 // ms
+)
+
+// parseRequest reads [FIELDS, BODY]. An error names the field that can't be used.
+func parseRequest(class string, params []any, keyed bool) (q router.Request, err error) {
+	if len(params) != 2 {
+		return q, fmt.Errorf("%d parameters", len(params))
+	}
+	fields, ok := params[0].(map[string]any)
+	if !ok {
+		return q, fmt.Errorf("no fields")
+	}
+	switch body := params[1].(type) {
+	case []byte:
+		q.Body = body
+	case string:
+		q.Body = []byte(body)
+	case nil:
+	default:
+		return q, fmt.Errorf("no body")
+	}
+	q.Class = class
+	fail := func(name string) {
+		if err == nil {
+			err = fmt.Errorf("field %s can't be used", name)
+		}
+	}
+	text := func(name string, needed bool) string {
+		v, present := fields[name]
+		s, ok := v.(string)
+		if present && (!ok || !token(s)) || needed && s == "" {
+			fail(name)
+		}
+		return s
+	}
+	number := func(name string, least, most float64) float64 {
+		v, present := fields[name]
+		if !present && least == 0 {
+			return 0
+		}
+		s, _ := v.(string)
+		f, bad := strconv.ParseFloat(s, 64)
+		if bad != nil || !(f >= least && f <= most) {
+			fail(name)
+		}
+		return f
+	}
+	q.ID = text("ref", true)
+	q.Object = text("lookup", false)
+	q.Key = text("replay", keyed)
+	q.Have = text("cached", false)
+	q.Allow = number("allow", 1, longestAllow)
+	q.Part = int64(number("block", 0, 1<<31))
+	q.Group = int64(number("family", 0, 1<<16))
+	q.SizeKb = number("room", 0, 1e9)
+	return q, err
+}
+
+// token reports that s can be passed on in a list of name=value pairs: a comma or a line end in it would forge
+// other fields.
+func token(s string) bool {
+	for _, c := range []byte(s) {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return len(s) <= longestToken
+}
--- /dev/null
+++ b/internal/msgpackrpc/server.go
@@ -0,0 +1,359 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
+
+	"spantack/internal/clock"
+	"spantack/internal/router"
+)
+
+// Figures of client connections; times are milliseconds.
+const (
+	maxOpen     = 64          // requests open on one connection: twice what a client may
+	queueRoom   = 2 * maxOpen // answers waiting to be written on one connection
+	idleLimit   = 60_000      // clients close idle connections after 4 s; this is for those that vanished
+	frameLimit  = 10_000      // for the rest of a message once it has begun
+	writeLimit  = 10_000      // for one answer: a client that takes none of it is gone
+	lingerLimit = 250         // for what crosses our close
+	acceptPause = 20          // after an accept that failed
+	readBuffer  = 4 << 10
+	logEvery    = 1000
+)
+
+// Server serves clients. Its fields are set before Serve.
+type Server struct {
+	Handle     func(context.Context, router.Request) router.Answer
+	Ready      func() bool
+	Keyed      map[string]bool // the classes, and whether their requests carry an idempotency key
+	MostConns  int64
+	MostQueued int64   // bytes of answers waiting to be written on all connections
+	Patience   float64 // how long open requests may hold up the end of Serve
+	Clock      *clock.Clock
+	Log        zerolog.Logger
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	queued int64
+	drains bool
+	faults int
+	logged float64
+}
+
+// Serve accepts connections until ctx ends, then closes each as soon as no request is open on it, and returns when
+// all are closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.conns = map[*conn]bool{}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	places := semaphore.NewWeighted(s.MostConns)
+	var wait sync.WaitGroup
+	for {
+		if places.Acquire(ctx, 1) != nil {
+			break
+		}
+		nc, err := l.Accept()
+		if err != nil {
+			places.Release(1)
+			if ctx.Err() != nil {
+				break
+			}
+			s.fault(fmt.Errorf("accept: %w", err))
+			time.Sleep(clock.Duration(acceptPause)) // out of descriptors, say: try again without spinning
+			continue
+		}
+		c := &conn{server: s, net: nc, open: map[uint64]context.CancelFunc{}, queue: make(chan answer, queueRoom)}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		wait.Go(func() {
+			defer places.Release(1)
+			c.serve()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+	s.mu.Lock()
+	s.drains = true
+	rest := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		rest = append(rest, c)
+	}
+	s.mu.Unlock()
+	for _, c := range rest {
+		c.poke()
+	}
+	last := time.AfterFunc(clock.Duration(s.Patience), func() {
+		for _, c := range rest {
+			c.net.Close()
+		}
+	})
+	defer last.Stop()
+	wait.Wait()
+	return nil
+}
+
+func (s *Server) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains
+}
+
+// fault counts what a client or the system did wrong, and logs it at most once a second.
+func (s *Server) fault(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults++
+	if now := s.Clock.Now(); now-s.logged >= logEvery {
+		s.logged = now
+		s.Log.Warn().Err(err).Int("faults", s.faults).Msg("client connection fault")
+	}
+}
+
+// reserve books n bytes of answers, unless too many wait.
+func (s *Server) reserve(n int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n > 0 && s.queued+n > s.MostQueued {
+		return false
+	}
+	s.queued += n
+	return true
+}
+
+// conn is one client connection.
+type conn struct {
+	server *Server
+	net    net.Conn
+	queue  chan answer
+
+	mu   sync.Mutex
+	open map[uint64]context.CancelFunc // by message id
+}
+
+type answer struct {
+	parts net.Buffers
+	size  int64 // reserved
+}
+
+// serve reads requests until the connection ends, then lets go of those still open.
+func (c *conn) serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var requests, writer sync.WaitGroup
+	writer.Go(c.write)
+	err := c.read(ctx, &requests)
+	if errors.Is(err, errMalformed) {
+		c.server.fault(err)
+	}
+	if err != nil {
+		c.net.Close() // first, so that no answer can follow what broke the stream
+	}
+	cancel()
+	requests.Wait()
+	close(c.queue)
+	writer.Wait()
+	if err == nil {
+		c.linger()
+	}
+	c.net.Close()
+}
+
+// linger ends the stream and reads what crossed that, or the reset would destroy the last answers on their way.
+func (c *conn) linger() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		t.CloseWrite()
+		t.SetReadDeadline(clock.Deadline(lingerLimit))
+		var sink [512]byte
+		for {
+			if _, err := t.Read(sink[:]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// poke makes a waiting reader look again whether the connection may close.
+func (c *conn) poke() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.net.SetReadDeadline(time.Unix(1, 0))
+}
+
+// await sets the time by which the next message must begin; mayClose tells that none is awaited.
+func (c *conn) await() (mayClose bool) {
+	draining := c.server.draining()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.net.SetReadDeadline(clock.Deadline(idleLimit))
+	return draining && len(c.open) == 0
+}
+
+// read takes in messages. It returns nil when the connection has nothing open and is not wanted any more.
+func (c *conn) read(ctx context.Context, requests *sync.WaitGroup) error {
+	in := bufio.NewReaderSize(c.net, readBuffer)
+	for {
+		if c.await() && in.Buffered() == 0 {
+			return nil
+		}
+		if _, err := in.Peek(1); err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				return err
+			}
+			c.mu.Lock()
+			idle := len(c.open) == 0
+			c.mu.Unlock()
+			if idle {
+				return nil
+			}
+			continue
+		}
+		c.net.SetReadDeadline(clock.Deadline(frameLimit))
+		v, err := readMessage(in)
+		if err != nil {
+			return err
+		}
+		arrived := c.server.Clock.Now()
+		m, err := parseMessage(v)
+		if err != nil {
+			return err
+		}
+		if err := c.take(ctx, m, arrived, requests); err != nil {
+			return err
+		}
+	}
+}
+
+// take acts on one message; an error ends the connection.
+func (c *conn) take(ctx context.Context, m message, arrived float64, requests *sync.WaitGroup) error {
+	s := c.server
+	if m.kind == kindNotify {
+		if m.method == "cancel" {
+			c.cancel(m.params)
+		}
+		return nil
+	}
+	if m.method == "health" {
+		buf := append(appendResult(nil, m.id), 0x92, 0xc2)
+		if s.Ready() {
+			buf[len(buf)-1] = 0xc3
+		}
+		return c.send(answer{parts: net.Buffers{appendFields(buf)}})
+	}
+	keyed, known := s.Keyed[m.method]
+	if !known {
+		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Error", "reason", "unknown method")}})
+	}
+	q, err := parseRequest(m.method, m.params, keyed)
+	if err != nil {
+		s.fault(fmt.Errorf("request: %w", err))
+		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Error", "reason", err.Error())}})
+	}
+	q.Arrived = arrived
+	c.mu.Lock()
+	_, twice := c.open[m.id]
+	full := len(c.open) >= maxOpen
+	var one context.Context
+	if !twice && !full {
+		one, c.open[m.id] = context.WithCancel(ctx)
+	}
+	c.mu.Unlock()
+	if twice {
+		return fmt.Errorf("%w: message id %d is open already", errMalformed, m.id)
+	}
+	if full {
+		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Full", "cooldown", "100")}})
+	}
+	requests.Go(func() {
+		a := s.Handle(one, q)
+		if c.finish(m.id) && a.Verdict != router.None {
+			if err := c.answer(m.id, a); err != nil {
+				s.fault(err)
+				c.net.Close()
+			}
+		}
+	})
+	return nil
+}
+
+// cancel ends requests whose client no longer waits; none of them is answered.
+func (c *conn) cancel(ids []any) {
+	for _, v := range ids {
+		if id, ok := toUint(v); ok {
+			c.finish(id)
+		}
+	}
+}
+
+// finish takes a request off the open ones. It is true once for each: whoever gets it may answer.
+func (c *conn) finish(id uint64) bool {
+	c.mu.Lock()
+	cancel, open := c.open[id]
+	delete(c.open, id)
+	last := len(c.open) == 0
+	c.mu.Unlock()
+	if open {
+		cancel()
+	}
+	if last && c.server.draining() {
+		c.poke()
+	}
+	return open
+}
+
+// answer queues the final answer to a request.
+func (c *conn) answer(id uint64, a router.Answer) error {
+	switch a.Verdict {
+	case router.Served:
+		size := int64(len(a.Body))
+		if !c.server.reserve(size) { // guards memory against clients that do not read
+			return c.send(answer{parts: net.Buffers{appendError(nil, id, "Error", "reason", "too many answers wait")}})
+		}
+		head := appendBinHead(append(appendResult(nil, id), 0x92), len(a.Body))
+		tail := appendFields(nil)
+		if a.Same {
+			tail = appendFields(nil, "keep", "1")
+		}
+		return c.send(answer{parts: net.Buffers{head, a.Body, tail}, size: size})
+	case router.Refused:
+		wait := strconv.FormatFloat(a.RetryAfter, 'f', 0, 64)
+		return c.send(answer{parts: net.Buffers{appendError(nil, id, "Full", "cooldown", wait)}})
+	default:
+		return c.send(answer{parts: net.Buffers{appendError(nil, id, "Error")}})
+	}
+}
+
+// send queues an answer without waiting for the client.
+func (c *conn) send(a answer) error {
+	select {
+	case c.queue <- a:
+		return nil
+	default:
+		c.server.reserve(-a.size)
+		return fmt.Errorf("%d answers wait for a client that does not read", queueRoom)
+	}
+}
+
+// write puts queued answers on the socket until the queue is closed. After a failure it only empties the queue.
+func (c *conn) write() {
+	broken := false
+	for a := range c.queue {
+		if !broken {
+			c.net.SetWriteDeadline(clock.Deadline(writeLimit))
+			if _, err := a.parts.WriteTo(c.net); err != nil {
+				broken = true
+				c.net.Close()
+			}
+		}
+		c.server.reserve(-a.size)
+	}
+}
--- /dev/null
+++ b/internal/resp/codec.go
@@ -0,0 +1,187 @@
+// Package resp speaks with depot caches, parents and the origin: commands and answers as RESP arrays of bulk
+// strings over pooled connections that carry many attempts each.
+package resp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"spantack/internal/router"
+	"spantack/rules"
+)
+
+// The most that an answer may hold; lengths are checked before anything is allocated.
+const (
+	maxParts  = 8
+	maxWord   = 4 << 10
+	maxBody   = 256 << 10
+	maxLine   = 16
+	bodyPlace = 3 // ID WORD FIELDS BODY
+)
+
+var errMalformed = errors.New("malformed answer")
+
+// readArray reads one array of bulk strings.
+func readArray(in *bufio.Reader) ([][]byte, error) {
+	n, err := readLength(in, '*', maxParts)
+	if err != nil {
+		return nil, err
+	}
+	parts := make([][]byte, n)
+	for i := range parts {
+		limit := maxWord
+		if i == bodyPlace {
+			limit = maxBody
+		}
+		size, err := readLength(in, '$', limit)
+		if err != nil {
+			return nil, inside(err)
+		}
+		text := make([]byte, size+2)
+		if _, err := io.ReadFull(in, text); err != nil {
+			return nil, inside(err)
+		}
+		if text[size] != '\r' || text[size+1] != '\n' {
+			return nil, fmt.Errorf("%w: bulk string without its end", errMalformed)
+		}
+		parts[i] = text[:size:size]
+	}
+	return parts, nil
+}
+
+// inside makes an end of stream within an answer unlike one between answers.
+func inside(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readLength reads a line such as "$12\r\n".
+func readLength(in *bufio.Reader, kind byte, limit int) (int, error) {
+	var line [maxLine]byte
+	for i := range line {
+		b, err := in.ReadByte()
+		if err != nil {
+			if i > 0 {
+				err = inside(err)
+			}
+			return 0, err
+		}
+		if line[i] = b; b != '\n' {
+			continue
+		}
+		if i < 3 || line[0] != kind || line[i-1] != '\r' {
+			break
+		}
+		n, err := strconv.ParseUint(string(line[1:i-1]), 10, 31)
+		if err != nil || int(n) > limit {
+			break
+		}
+		return int(n), nil
+	}
+	return 0, fmt.Errorf("%w: no length after %q", errMalformed, kind)
+}
+
+// appendArray adds an array of bulk strings to buf.
+func appendArray(buf []byte, parts ...[]byte) []byte {
+	buf = append(strconv.AppendInt(append(buf, '*'), int64(len(parts)), 10), "\r\n"...)
+	for _, p := range parts {
+		buf = append(strconv.AppendInt(append(buf, '$'), int64(len(p)), 10), "\r\n"...)
+		buf = append(append(buf, p...), "\r\n"...)
+	}
+	return buf
+}
+
+var ways = []struct {
+	bit  int
+	word string
+}{{rules.Join, "join"}, {rules.HeldOnly, "held"}, {rules.PassParent, "nocopy"}, {rules.Renew, "renew"}}
+
+// appendGet adds the command that puts an attempt to its server.
+func appendGet(buf []byte, a router.Attempt) []byte {
+	var fields strings.Builder
+	put := func(name, value string) {
+		if value == "" {
+			return
+		}
+		if fields.Len() > 0 {
+			fields.WriteByte(',')
+		}
+		fields.WriteString(name + "=" + value)
+	}
+	put("sort", a.Class)
+	put("asset", a.Object)
+	put("slice", strconv.FormatInt(a.Part, 10))
+	put("patience", wholeMillis(a.Patience))
+	put("op", a.Key)
+	put("next", a.Source)
+	if a.Keep > 0 {
+		put("admit", strconv.Itoa(a.Keep))
+	}
+	if a.MaxAge > 0 {
+		put("agelim", wholeMillis(a.MaxAge))
+	}
+	var how []string
+	for _, w := range ways {
+		if a.How&w.bit != 0 {
+			how = append(how, w.word)
+		}
+	}
+	put("ways", strings.Join(how, "+"))
+	put("cached", a.Have)
+	return appendArray(buf, []byte("GET"), []byte(a.ID), []byte(fields.String()), a.Body)
+}
+
+// wholeMillis rounds down, so that an age limit never lets in more than was meant, but not to 0: that means another
+// thing.
+func wholeMillis(ms float64) string {
+	return strconv.FormatFloat(max(math.Floor(ms), 1), 'f', 0, 64)
+}
+
+var codes = map[string]rules.Code{"OK": rules.Done, "SAME": rules.Done, "MISS": rules.Miss, "BUSY": rules.Busy,
+	"ERR": rules.Failed, "VOID": rules.Skipped}
+
+// notes in the order of the simulator's numbers, from 1.
+var notes = map[string]int{"TCP_HIT": 1, "TCP_MISS": 2, "TCP_MISS_ROOT": 3, "TCP_JOIN": 4, "TCP_STALE": 5,
+	"PEER_DENY": 6, "PEER_DEAD": 7, "PEER_MISS": 8, "FILL_FULL": 9, "ROOT_FAIL": 10}
+
+// parseAnswer reads ID WORD FIELDS BODY. Unknown fields are skipped, unknown words are not.
+func parseAnswer(parts [][]byte) (id string, end router.End, err error) {
+	if len(parts) < 2 || len(parts) > bodyPlace+1 {
+		return "", end, fmt.Errorf("%w: %d parts", errMalformed, len(parts))
+	}
+	id = string(parts[0])
+	word := string(parts[1])
+	code, known := codes[word]
+	if !known {
+		return "", end, fmt.Errorf("%w: unknown word %.20q", errMalformed, word)
+	}
+	end.Code, end.Same = code, word == "SAME"
+	if len(parts) > bodyPlace && word == "OK" {
+		end.Body = parts[bodyPlace]
+	}
+	if len(parts) <= 2 || string(parts[2]) == "-" {
+		return id, end, nil
+	}
+	for pair := range strings.SplitSeq(string(parts[2]), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "n":
+			if end.Note, known = notes[value]; !known {
+				return "", end, fmt.Errorf("%w: unknown note %.20q", errMalformed, value)
+			}
+		case "slow":
+			end.Waited, err = strconv.ParseFloat(value, 64)
+			if err != nil || !(end.Waited >= 0 && end.Waited < 1e9) {
+				return "", end, fmt.Errorf("%w: slow=%.20q", errMalformed, value)
+			}
+		}
+	}
+	return id, end, nil
+}
--- /dev/null
+++ b/internal/resp/pool.go
@@ -0,0 +1,401 @@
+package resp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/clock"
+	"spantack/internal/router"
+	"spantack/rules"
+)
+
+// Options are the figures that the settings and limits give to the pools. Times are milliseconds.
+type Options struct {
+	DialTimeout float64
+	IdleClose   float64 // the server closes a connection after so much idle time
+	MaxStreams  int     // attempts at once on one connection
+	MostConns   int     // connections to all servers together
+	MostWait    float64 // an attempt not written so long after its choice must not be: drains and purges bind
+}
+
+const (
+	idleShare   = 0.8 // of IdleClose, after which we close first: a close that crosses an attempt proves nothing
+	writeLimit  = 2000
+	queueRoom   = 64   // commands waiting to be written on one connection
+	dropPatient = 20   // ms to wait for a DROP to be written
+	dropMemory  = 2000 // ms within which the next attempt of a dropped id would come
+	readBuffer  = 4 << 10
+	connsEach   = 24 // connections to one server before they are shared
+	logEvery    = 1000
+)
+
+// Pools hold the connections to every server, by the server's id and address: addresses are used again, and what
+// was out at the old machine must not be mixed with the new one's.
+type Pools struct {
+	opt   Options
+	clock *clock.Clock
+	log   zerolog.Logger
+	ctx   context.Context
+
+	mu      sync.Mutex
+	servers map[string]*pool // by id
+	conns   int              // open and being opened
+	faults  int              // streams closed for malformed answers
+	logged  float64
+}
+
+// pool holds the connections to one server. Its fields are guarded by Pools.mu.
+type pool struct {
+	owner    *Pools
+	id, addr string
+	conns    []*conn
+	opening  int
+	closed   bool
+}
+
+// conn is one connection. Its fields are guarded by Pools.mu unless they say otherwise.
+type conn struct {
+	pool    *pool
+	net     net.Conn
+	queue   chan command
+	gone    chan struct{} // closed with the connection
+	calls   map[string]*call
+	dropped map[string]float64 // when ids were given up here: their next attempt must follow on this connection
+	idle    *clock.Timer
+	used    float64
+	dead    bool
+}
+
+type command struct {
+	text    []byte
+	call    *call         // of a GET
+	written chan struct{} // closed once written; nil: nobody waits
+}
+
+// call is one attempt. Its fields are guarded by Pools.mu.
+type call struct {
+	pools  *Pools
+	try    router.Attempt
+	chosen float64
+	conn   *conn // nil until a connection takes it
+	over   bool
+	done   chan router.End
+}
+
+// NewPools returns pools without servers; ctx ends their connections.
+func NewPools(ctx context.Context, opt Options, c *clock.Clock, log zerolog.Logger) *Pools {
+	return &Pools{opt: opt, clock: c, log: log, ctx: ctx, servers: map[string]*pool{}}
+}
+
+// Apply keeps the addresses in step with the list of servers. Attempts out at a server that left go on.
+func (p *Pools) Apply(n router.Notice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n.Purge != nil {
+		return
+	}
+	listed := map[string]bool{}
+	for _, s := range n.Servers {
+		old := p.servers[s.ID]
+		gone := s.Status == "deregistered"
+		listed[s.ID] = !gone
+		if old != nil && (gone || old.addr != s.Addr) {
+			old.retire()
+			old = nil
+		}
+		if old == nil && !gone {
+			p.servers[s.ID] = &pool{owner: p, id: s.ID, addr: s.Addr}
+		}
+	}
+	if !n.Whole {
+		return
+	}
+	for id, old := range p.servers {
+		if !listed[id] {
+			old.retire()
+		}
+	}
+}
+
+// retire takes a pool off the list and closes what is idle in it; the rest closes when its last attempt ends.
+func (l *pool) retire() {
+	l.closed = true
+	delete(l.owner.servers, l.id)
+	for _, c := range append([]*conn(nil), l.conns...) {
+		if len(c.calls) == 0 {
+			c.close()
+		}
+	}
+}
+
+// Send puts an attempt to its server. Its end comes on the call's channel.
+func (p *Pools) Send(try router.Attempt) router.Call {
+	k := &call{pools: p, try: try, chosen: p.clock.Now(), done: make(chan router.End, 1)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.servers[try.Server]
+	if l == nil { // it left the list between the choice and here: nothing was sent
+		k.end(router.End{Code: rules.Skipped})
+		return k
+	}
+	c, open := l.pick(try.ID)
+	switch {
+	case c != nil:
+		c.start(k)
+	case open:
+		l.opening++
+		p.conns++
+		go l.open(k)
+	default:
+		k.end(router.End{Code: rules.Skipped})
+	}
+	return k
+}
+
+// pick chooses the connection for an attempt, or says to open one. An idle connection comes first, since a large
+// body holds up all answers behind it; connections are shared only when enough are open.
+func (l *pool) pick(id string) (best *conn, open bool) {
+	for _, c := range l.conns {
+		switch {
+		case c.dropped[id] != 0: // its DROP must get there first, or two attempts would be out at once
+			return c, false
+		case len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
+		case best == nil || len(c.calls) < len(best.calls) || len(c.calls) == len(best.calls) && c.used > best.used:
+			best = c
+		}
+	}
+	if best != nil && len(best.calls) == 0 {
+		return best, false
+	}
+	if len(l.conns)+l.opening < connsEach && l.owner.conns < l.owner.opt.MostConns {
+		return nil, true
+	}
+	return best, false
+}
+
+// open dials for one attempt and serves the connection until it ends.
+func (l *pool) open(k *call) {
+	p := l.owner
+	dialer := net.Dialer{Timeout: clock.Duration(p.opt.DialTimeout)}
+	nc, err := dialer.DialContext(p.ctx, "tcp", l.addr)
+	p.mu.Lock()
+	l.opening--
+	if err != nil {
+		p.conns--
+		k.end(router.End{Code: rules.Refused})
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			p.fault(l, fmt.Errorf("dial: %w", err))
+		}
+		p.mu.Unlock()
+		return
+	}
+	c := &conn{pool: l, net: nc, queue: make(chan command, queueRoom), gone: make(chan struct{}),
+		calls: map[string]*call{}, dropped: map[string]float64{}, used: p.clock.Now()}
+	l.conns = append(l.conns, c)
+	switch {
+	case p.ctx.Err() != nil:
+		k.end(router.End{Code: rules.Refused})
+		c.close()
+	case k.over && l.closed:
+		c.close()
+	case !k.over:
+		c.start(k)
+	default:
+		c.rest()
+	}
+	p.mu.Unlock()
+	stop := context.AfterFunc(p.ctx, func() { nc.Close() })
+	defer stop()
+	go c.write()
+	c.read()
+}
+
+// start gives an attempt to a connection. Pools.mu is held.
+func (c *conn) start(k *call) {
+	p := c.pool.owner
+	if p.opt.MostWait > 0 && p.clock.Now()-k.chosen > p.opt.MostWait {
+		// guards drains and purges told since the choice: what was never sent proves that nothing ran
+		k.end(router.End{Code: rules.Refused})
+		c.rest()
+		return
+	}
+	select {
+	case c.queue <- command{text: appendGet(nil, k.try), call: k}:
+		k.conn = c
+		c.calls[k.try.ID] = k
+		c.used = p.clock.Now()
+		c.idle.Stop()
+		delete(c.dropped, k.try.ID)
+	default:
+		k.end(router.End{Code: rules.Skipped})
+	}
+}
+
+// rest arms the idle close when nothing is out on the connection. Pools.mu is held.
+func (c *conn) rest() {
+	if c.dead || len(c.calls) > 0 {
+		return
+	}
+	if c.pool.closed {
+		c.close()
+		return
+	}
+	c.idle.Stop()
+	c.idle = c.pool.owner.clock.AfterFunc(idleShare*c.pool.owner.opt.IdleClose, func() {
+		c.pool.owner.mu.Lock()
+		defer c.pool.owner.mu.Unlock()
+		if len(c.calls) == 0 {
+			c.close()
+		}
+	})
+}
+
+// close ends the connection and every attempt out on it. Pools.mu is held.
+func (c *conn) close() {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.idle.Stop()
+	close(c.gone)
+	c.net.Close()
+	c.pool.owner.conns--
+	for i, o := range c.pool.conns {
+		if o == c {
+			c.pool.conns = append(c.pool.conns[:i], c.pool.conns[i+1:]...)
+			break
+		}
+	}
+	for _, k := range c.calls {
+		k.end(router.End{Code: rules.Reset})
+	}
+	clear(c.calls)
+}
+
+// end hands the attempt's end to whoever waits for it. Pools.mu is held.
+func (k *call) end(e router.End) {
+	if !k.over {
+		k.over = true
+		k.done <- e
+	}
+}
+
+// Done implements router.Call.
+func (k *call) Done() <-chan router.End { return k.done }
+
+// Drop implements router.Call. The wait for the write guards the rule that a request has one attempt out at a time:
+// its next one may go by another connection.
+func (k *call) Drop() {
+	p := k.pools
+	p.mu.Lock()
+	if k.over {
+		p.mu.Unlock()
+		return
+	}
+	k.over = true
+	c := k.conn
+	if c == nil || c.dead {
+		p.mu.Unlock()
+		return
+	}
+	delete(c.calls, k.try.ID)
+	now := p.clock.Now()
+	maps.DeleteFunc(c.dropped, func(_ string, at float64) bool { return now-at > dropMemory })
+	c.dropped[k.try.ID] = now
+	written := make(chan struct{})
+	queued := false
+	select {
+	case c.queue <- command{text: appendArray(nil, []byte("DROP"), []byte(k.try.ID)), written: written}:
+		queued = true
+	default: // a connection that takes nothing more is no good: its end gives up all that is out on it
+		c.close()
+	}
+	c.rest()
+	p.mu.Unlock()
+	if !queued {
+		return
+	}
+	patient := time.NewTimer(clock.Duration(dropPatient))
+	defer patient.Stop()
+	select {
+	case <-written:
+	case <-c.gone:
+	case <-patient.C:
+	}
+}
+
+// write puts queued commands on the socket, each within a bounded time.
+func (c *conn) write() {
+	for {
+		select {
+		case <-c.gone:
+			return
+		case m := <-c.queue:
+			c.net.SetWriteDeadline(clock.Deadline(writeLimit))
+			_, err := c.net.Write(m.text)
+			if m.written != nil {
+				close(m.written)
+			}
+			if err != nil {
+				c.fail(err)
+				return
+			}
+		}
+	}
+}
+
+// read takes answers to their calls until the stream ends.
+func (c *conn) read() {
+	in := bufio.NewReaderSize(c.net, readBuffer)
+	for {
+		parts, err := readArray(in)
+		var id string
+		var end router.End
+		if err == nil {
+			id, end, err = parseAnswer(parts)
+		}
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		p := c.pool.owner
+		p.mu.Lock()
+		delete(c.dropped, id) // an answer that crossed its DROP
+		if k := c.calls[id]; k != nil {
+			delete(c.calls, id)
+			k.end(end)
+		}
+		c.used = p.clock.Now()
+		c.rest()
+		p.mu.Unlock()
+	}
+}
+
+// fail closes the connection, and says so if the other side is at fault.
+func (c *conn) fail(err error) {
+	p := c.pool.owner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, errMalformed) {
+		p.fault(c.pool, err)
+	}
+	c.close()
+}
+
+// fault counts what should not happen, and logs it at most once a second. Pools.mu is held.
+func (p *Pools) fault(l *pool, err error) {
+	p.faults++
+	if now := p.clock.Now(); now-p.logged >= logEvery {
+		p.logged = now
+		p.log.Warn().Err(err).Str("server", l.id).Int("faults", p.faults).Msg("upstream connection closed")
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,183 @@
+// Package router takes requests through the decision module. It knows no protocol and no socket: a front hands it
+// Requests, an Upstream carries its attempts, and notices tell it of servers and purges.
+package router
+
+import (
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/clock"
+	"spantack/rules"
+)
+
+// Request is one client's request. Times are milliseconds.
+type Request struct {
+	ID      string
+	Class   string
+	Object  string
+	Part    int64
+	Group   int64
+	SizeKb  float64
+	Key     string  // idempotency key
+	Have    string  // tag of the copy that the client holds
+	Allow   float64 // how long the client waits from Arrived on
+	Arrived float64
+	Body    []byte
+}
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The verdicts.
+const (
+	None    Verdict = iota // the client is gone: no answer is owed
+	Served                 // Body, or Same
+	Refused                // RetryAfter; trying again is harmless
+	Failed
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict    Verdict
+	Body       []byte
+	Same       bool // the client's own copy is the one: no body
+	RetryAfter float64
+}
+
+// Attempt is one try of a request at one server.
+type Attempt struct {
+	*Request
+	Server   string // id of the server
+	Source   string // id of the server that fills a miss; empty: none
+	Patience float64
+	Keep     int
+	MaxAge   float64 // 0: the class's fresh time
+	How      int     // bits of rules.Action.How
+}
+
+// End is how an attempt ended.
+type End struct {
+	Code   rules.Code
+	Note   int
+	Waited float64 // for the source
+	Body   []byte
+	Same   bool
+}
+
+// Call is an attempt that is out.
+type Call interface {
+	// Done yields the attempt's end, once; nothing after Drop.
+	Done() <-chan End
+	// Drop gives the attempt up. It returns once the server has been told, or can't be told soon.
+	Drop()
+}
+
+// Upstream carries attempts to servers. Send must not wait for the network.
+type Upstream interface {
+	Send(Attempt) Call
+}
+
+// Server is one entry of the list of servers.
+type Server struct {
+	ID, Addr, Zone, Kind string
+	Cell                 int64
+	Status               string // in the module's words
+	Weight               float64
+	Started              float64 // Unix milliseconds; 0: long ago
+}
+
+// Purge says that copies of an object (empty: of a whole group) made before At are out of date.
+type Purge struct {
+	Object string
+	Group  int64
+	At     float64
+}
+
+// Notice is a change of the list of servers, the whole list, or a purge.
+type Notice struct {
+	Whole   bool
+	Servers []Server
+	Purge   *Purge
+}
+
+// Counters count what a Router took in, sent and answered.
+type Counters struct {
+	Taken, Sent, Served, Refused, Failed, Gone, Overdue, Faults atomic.Int64
+}
+
+// Router shares one decision module between the requests of this process.
+type Router struct {
+	Counters Counters
+
+	clock    *clock.Clock
+	log      zerolog.Logger
+	upstream Upstream
+
+	mu    sync.Mutex // held only while the module decides; never across I/O
+	rules *rules.Router
+	last  int64 // the module's clock must not run backwards
+	mail  map[string]chan rules.Action
+}
+
+// New returns a router that decides by the settings and sends by way of upstream.
+func New(set rules.Settings, seed int64, c *clock.Clock, upstream Upstream, log zerolog.Logger) (*Router, error) {
+	module, err := rules.New(set, seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Router{clock: c, log: log, upstream: upstream, rules: module, mail: map[string]chan rules.Action{}}, nil
+}
+
+// Apply takes a notice to the module before it returns; the first whole list is the one restored at the start.
+func (r *Router) Apply(n Notice) {
+	ev := rules.Event{Kind: rules.Members, Mode: "update"}
+	if n.Whole {
+		ev.Mode = "replace"
+	}
+	for _, s := range n.Servers {
+		ev.Rows = append(ev.Rows, rules.Row{Node: s.ID, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, Status: s.Status,
+			Weight: s.Weight, CameUp: clock.Micros(s.Started)})
+	}
+	if n.Purge != nil {
+		ev = rules.Event{Kind: rules.Purged, Object: n.Purge.Object, Group: n.Purge.Group,
+			Age: clock.Micros(max(r.clock.Now()-n.Purge.At, 0))}
+	}
+	r.step(ev)
+}
+
+// step takes one event to the module and each action to the mailbox of the request that it names. The timers that
+// the module sets are the router's own: they must reach it even when their request is long over.
+func (r *Router) step(ev rules.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = max(r.last, clock.Micros(r.clock.Now()))
+	for _, a := range r.decide(ev) {
+		switch a.Kind {
+		case rules.SetTimer:
+			r.clock.AfterFunc(clock.Millis(a.In), func() { r.step(rules.Event{Kind: rules.Timer, Token: a.Token}) })
+		case rules.Get, rules.Refuse, rules.Fail, rules.Cancel:
+			select {
+			case r.mail[a.Call] <- a:
+			default: // nobody waits for it, or the mailbox is full: the deadline still answers the request
+				r.Counters.Faults.Add(1)
+			}
+		case rules.Log:
+			r.log.Info().Str("text", a.Text).Msg("module says")
+		}
+	}
+}
+
+// decide keeps a fault in the module from taking every open request down with it.
+func (r *Router) decide(ev rules.Event) (acts []rules.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.Counters.Faults.Add(1)
+			r.log.Error().Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("decision module failed")
+		}
+	}()
+	return r.rules.Step(r.last, []rules.Event{ev})
+}
--- /dev/null
+++ b/internal/router/serve.go
@@ -0,0 +1,121 @@
+package router
+
+import (
+	"context"
+
+	"spantack/internal/clock"
+	"spantack/rules"
+)
+
+const (
+	// answerMargin is kept from the client's time for the way there and back and for a busy core, in milliseconds.
+	answerMargin = 25
+	// overdue is how long past that the module may leave a request without an answer before the router gives one.
+	overdue = 10
+	// mailboxRoom is far more than the module ever has to say to one request at once.
+	mailboxRoom = 16
+)
+
+// Serve takes one request from its arrival to its final answer. The module says what to do next at every turn; ctx
+// ends when the client no longer waits.
+func (r *Router) Serve(ctx context.Context, q Request) Answer {
+	r.Counters.Taken.Add(1)
+	mail := make(chan rules.Action, mailboxRoom)
+	r.mu.Lock()
+	_, twice := r.mail[q.ID]
+	if !twice {
+		r.mail[q.ID] = mail
+	}
+	r.mu.Unlock()
+	if twice { // guards the first request of that id: its answer must not go to this one
+		r.Counters.Failed.Add(1)
+		return Answer{Verdict: Failed}
+	}
+	defer func() {
+		r.mu.Lock()
+		delete(r.mail, q.ID)
+		r.mu.Unlock()
+	}()
+
+	end := q.Arrived + q.Allow - answerMargin
+	late, lateTimer := r.clock.Alarm(end + overdue - r.clock.Now())
+	defer lateTimer.Stop()
+	r.step(rules.Event{Kind: rules.Request, Call: q.ID, Class: q.Class, Object: q.Object, Part: q.Part, Group: q.Group,
+		SizeKb: q.SizeKb, ExpiresIn: clock.Micros(end - r.clock.Now())})
+
+	// What is out for this request: never more than one attempt.
+	var (
+		call    Call
+		done    <-chan End
+		timeout <-chan struct{}
+		timer   *clock.Timer
+		sentAt  float64
+		server  string
+		number  = -1
+	)
+	over := func(e End) { // books the end of the attempt that is out
+		timer.Stop()
+		call, done, timeout = nil, nil, nil
+		r.step(rules.Event{Kind: rules.Outcome, Call: q.ID, Attempt: number, Node: server, Code: e.Code, Note: e.Note,
+			Rtt: clock.Micros(r.clock.Now() - sentAt), UpstreamWait: clock.Micros(e.Waited), Final: e.Code == rules.Done})
+	}
+	for {
+		select {
+		case a := <-mail:
+			switch a.Kind {
+			case rules.Get:
+				try := Attempt{Request: &q, Server: a.Node, Patience: clock.Millis(a.TimeOut)}
+				if a.Source != "" {
+					try.Keep, try.MaxAge, try.How = a.Keep, clock.Millis(a.MaxAge), a.How
+				}
+				if a.Source != a.Node {
+					try.Source = a.Source
+				}
+				number++
+				server, sentAt = a.Node, r.clock.Now()
+				timeout, timer = r.clock.Alarm(min(try.Patience, max(end-sentAt, 0)))
+				call = r.upstream.Send(try)
+				done = call.Done()
+				r.Counters.Sent.Add(1)
+			case rules.Cancel:
+				if call != nil && a.Attempt == number {
+					call.Drop()
+					over(End{Code: rules.Cancelled})
+				}
+			case rules.Refuse:
+				r.Counters.Refused.Add(1)
+				return Answer{Verdict: Refused, RetryAfter: clock.Millis(a.RetryAfter)}
+			case rules.Fail:
+				r.Counters.Failed.Add(1)
+				return Answer{Verdict: Failed}
+			}
+		case e := <-done:
+			over(e)
+			if e.Code == rules.Done {
+				r.Counters.Served.Add(1)
+				return Answer{Verdict: Served, Body: e.Body, Same: e.Same}
+			}
+		case <-timeout:
+			call.Drop()
+			over(End{Code: rules.TimedOut})
+		case <-ctx.Done():
+			if call != nil {
+				timer.Stop()
+				call.Drop()
+			}
+			r.step(rules.Event{Kind: rules.Gone, Call: q.ID})
+			r.Counters.Gone.Add(1)
+			return Answer{}
+		case <-late: // guards the one answer that is owed against a module that gave none
+			if call != nil {
+				timer.Stop()
+				call.Drop()
+			}
+			r.step(rules.Event{Kind: rules.Gone, Call: q.ID})
+			r.Counters.Overdue.Add(1)
+			r.Counters.Failed.Add(1)
+			r.log.Error().Str("request", q.ID).Msg("module gave no answer in time")
+			return Answer{Verdict: Failed}
+		}
+	}
+}
