Test the parsers, pools, client server and request life; bound open requests by memory

Added with the tests: one byte budget for open requests and queued answers, a cap on upstream connections by memory, a last look for requests written just before a drain closes a connection, and connections on which an attempt was given up with nothing heard since are not used again until they speak. The random tests run from one fixed seed. gofmt, vet, go test -race pass.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -30,8 +30,10 @@
 	stayOpen = 800
 	// memoryShare of the limit is what Go's heap keeps under; the rest is for stacks, buffers and the kernel.
 	memoryShare = 0.7
-	// queueShare of the limit is what answers waiting for clients may hold.
+	// queueShare of the limit is what open requests and answers waiting for clients may hold.
 	queueShare = 0.25
+	// bodyShare of the limit is what answers on their way in may hold: one on each connection at most.
+	bodyShare = 0.35
 	// clientShare of the descriptors is for clients; the platform gives them no more.
 	clientShare = 3
 	// spareSockets are for the listener, the board, logs and connections on their way out.
@@ -65,9 +67,11 @@
 	defer stopAccepting()
 
 	now := &clock.Clock{}
+	memory := c.MemoryMB * (1 << 20)
 	clients := c.Sockets / clientShare
+	mostConns := min(c.Sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody))
 	pools := resp.NewPools(serving, resp.Options{DialTimeout: c.DialTimeout, IdleClose: c.IdleClose,
-		MaxStreams: c.MaxStreams, MostConns: c.Sockets - clients - spareSockets, MostWait: c.MostWait}, now, log)
+		MaxStreams: c.MaxStreams, MostConns: mostConns, MostWait: c.MostWait}, now, log)
 	core, err := router.New(c.Settings, c.Seed, now, pools, log)
 	if err != nil {
 		return err
@@ -82,7 +86,7 @@
 	}
 	var ready atomic.Bool
 	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: int64(clients),
-		MostQueued: int64(queueShare * c.MemoryMB * (1 << 20)), Patience: c.Longest, Clock: now, Log: log}
+		MostQueued: int64(queueShare * memory), Patience: c.Longest, Clock: now, Log: log}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %w", err)
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,98 @@
+package board
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+
+	"spantack/internal/router"
+)
+
+var names = Names{Zones: []string{"central", "east"}, Kinds: []string{"std", "parent"}}
+
+// appendFrame is the test's own board.
+func appendFrame(buf []byte, number uint64, kind byte, payload []byte) []byte {
+	buf = binary.BigEndian.AppendUint32(buf, uint32(frameHead+len(payload)))
+	buf = append(binary.BigEndian.AppendUint64(buf, number), kind)
+	return append(buf, payload...)
+}
+
+// The example server of the protocol, as a record: s-00c41f7a at 10.1.0.9:5050, draining, weight 1.5.
+const record = "\x00\xc4\x1f\x7a\x0a\x01\x00\x09\x13\xba\x01\x01\x00\x00\x02\x00\x00\x05\xdc\x00\x00\x01\x9a\xd8\x4b\x90\x00"
+
+func TestFrames(t *testing.T) {
+	server := router.Server{ID: "s-00c41f7a", Addr: "10.1.0.9:5050", Zone: "east", Kind: "std", Cell: 2,
+		Status: "cordoned", Weight: 1.5, Started: 0x19ad84b9000}
+	for _, c := range []struct {
+		kind    byte
+		payload string
+		want    router.Notice
+	}{
+		{kindNothing, "", router.Notice{}},
+		{kindWhole, record, router.Notice{Whole: true, Servers: []router.Server{server}}},
+		{kindChanges, record + record, router.Notice{Servers: []router.Server{server, server}}},
+		{kindObject, "\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55\x00\x00\x00\x00\x00\x00\x03\xe8",
+			router.Notice{Purge: &router.Purge{Object: "7f3a9c21e0b4d655", At: 1000}}},
+		{kindGroup, "\x00\x11\x00\x00\x00\x00\x00\x00\x03\xe8", router.Notice{Purge: &router.Purge{Group: 17, At: 1000}}},
+	} {
+		stream := appendFrame(nil, 42, c.kind, []byte(c.payload))
+		f, err := readFrame(iotest.OneByteReader(bytes.NewReader(stream)), names)
+		if err != nil || f.number != 42 || f.kind != c.kind || !reflect.DeepEqual(f.notice, c.want) {
+			t.Errorf("kind %d: %+v, %v", c.kind, f, err)
+		}
+		if _, err := readFrame(bytes.NewReader(stream[:len(stream)-1]), names); err != io.ErrUnexpectedEOF {
+			t.Errorf("kind %d, cut: %v", c.kind, err)
+		}
+	}
+	for _, bad := range []string{"\xff\xff\xff\xff", "\x00\x00\x00\x08",
+		string(appendFrame(nil, 1, kindWhole, []byte(record[1:]))), string(appendFrame(nil, 1, 9, nil)),
+		string(appendFrame(nil, 1, kindChanges, []byte(strings.Replace(record, "\x01\x01\x00", "\x03\x01\x00", 1))))} {
+		if _, err := readFrame(strings.NewReader(bad), names); !errors.Is(err, errMalformed) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+// Garbage ends in an error or a frame, never in a panic or a large allocation.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		garbage := rapid.SliceOfN(rapid.Byte(), 0, 100).Draw(t, "garbage")
+		if rapid.Bool().Draw(t, "framed") {
+			garbage = appendFrame(nil, 7, rapid.ByteRange(0, 5).Draw(t, "kind"), garbage)
+		}
+		_, err := readFrame(bytes.NewReader(garbage), names)
+		if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF && !errors.Is(err, errMalformed) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+	})
+}
+
+const target = `{"uid":"s-00c41f7a","endpoint":"10.1.0.9:5050","az":"east","model":"std","pod_group":2,"state":"Ready","capacity_hint":4.5,"boot_ms":0}`
+
+func TestKnown(t *testing.T) {
+	last, notices, err := ParseKnown([]byte(`{"rev":43,"notices":[{"rev":41,"pool":{"rev":7,"all":true,"targets":[`+target+`]}},
+		{"rev":42,"flush":{"asset":"7f3a9c21e0b4d655","ms":1764576000123}},
+		{"rev":43,"flush":{"collection":17,"ms":1764576000480}}]}`), names)
+	want := []router.Notice{
+		{Whole: true, Servers: []router.Server{{ID: "s-00c41f7a", Addr: "10.1.0.9:5050", Zone: "east", Kind: "std", Cell: 2, Status: "healthy", Weight: 4.5}}},
+		{Purge: &router.Purge{Object: "7f3a9c21e0b4d655", At: 1764576000123}},
+		{Purge: &router.Purge{Group: 17, At: 1764576000480}},
+	}
+	if err != nil || last != 43 || !reflect.DeepEqual(notices, want) {
+		t.Errorf("%d, %+v, %v", last, notices, err)
+	}
+	for field, swap := range map[string][2]string{"uid": {"s-00c41f7a", ""}, "endpoint": {"10.1.0.9", "nowhere"},
+		"az": {"east", "west"}, "model": {"std", "odd"}, "state": {"Ready", "Asleep"}} {
+		text := `{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":[` + strings.Replace(target, swap[0], swap[1], 1) + `]}}]}`
+		if _, _, err := ParseKnown([]byte(text), names); err == nil || !strings.Contains(err.Error(), "targets[0]."+field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/msgpackrpc/codec_test.go
@@ -0,0 +1,153 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"maps"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+// encode is the test's own writer of MessagePack, for what clients send and the server never does.
+func encode(buf []byte, v any) []byte {
+	switch v := v.(type) {
+	case nil:
+		return append(buf, 0xc0)
+	case uint64:
+		return appendUint(buf, v)
+	case string:
+		return appendString(buf, v)
+	case []byte:
+		return append(appendBinHead(buf, len(v)), v...)
+	case []any:
+		buf = append(buf, 0xdc, byte(len(v)>>8), byte(len(v)))
+		for _, e := range v {
+			buf = encode(buf, e)
+		}
+	case map[string]any:
+		buf = append(buf, 0xde, byte(len(v)>>8), byte(len(v)))
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			buf = encode(appendString(buf, k), v[k])
+		}
+	}
+	return buf
+}
+
+func drawMessage(t *rapid.T) []any {
+	fields := map[string]any{}
+	for k, v := range rapid.MapOfN(rapid.StringN(1, 8, 8), rapid.StringN(0, 40, 40), 0, 10).Draw(t, "fields") {
+		fields[k] = v
+	}
+	body := rapid.SliceOfN(rapid.Byte(), 0, 600).Draw(t, "body")
+	return []any{uint64(0), rapid.Uint64().Draw(t, "id"), "segment", []any{fields, body}}
+}
+
+// Whatever way the network cuts a stream of messages, they come out as they went in.
+func TestCutMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		want := rapid.SliceOfN(rapid.Custom(drawMessage), 1, 4).Draw(t, "messages")
+		for _, m := range want {
+			stream = encode(stream, m)
+		}
+		cut := rapid.IntRange(0, len(stream)).Draw(t, "cut")
+		in := bufio.NewReaderSize(iotest.OneByteReader(io.MultiReader(
+			bytes.NewReader(stream[:cut]), bytes.NewReader(stream[cut:]))), 16)
+		for _, m := range want {
+			v, err := readMessage(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := parseMessage(v)
+			if err != nil || got.id != m[1] || got.method != "segment" || !reflect.DeepEqual(got.params, m[3]) {
+				t.Fatalf("got %v (%v), want %v", got, err, m)
+			}
+		}
+		if _, err := readMessage(in); err != io.EOF {
+			t.Fatalf("after the last message: %v", err)
+		}
+		short := bufio.NewReader(bytes.NewReader(stream[:cut]))
+		for {
+			if _, err := readMessage(short); err == io.EOF || err == io.ErrUnexpectedEOF {
+				return
+			} else if err != nil {
+				t.Fatalf("a cut is no malformed message: %v", err)
+			}
+		}
+	})
+}
+
+// Garbage ends in an error or a message, never in a panic or a large allocation.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		garbage := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "garbage")
+		if rapid.Bool().Draw(t, "damaged") { // a valid message with one byte changed gets further in
+			garbage = encode(nil, drawMessage(t))
+			garbage[rapid.IntRange(0, len(garbage)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		v, err := readMessage(bufio.NewReader(bytes.NewReader(garbage)))
+		if err == nil {
+			if m, err := parseMessage(v); err == nil {
+				_, _ = parseRequest(m.method, m.params, true)
+			}
+		} else if err != io.EOF && err != io.ErrUnexpectedEOF && !errors.Is(err, errMalformed) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+	})
+}
+
+// A length is checked before it is believed: four bytes must not make the router allocate gigabytes.
+func TestLengths(t *testing.T) {
+	for _, text := range []string{"\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff",
+		"\xdb\x00\x02\x00\x00", strings.Repeat("\x91", 1000), "\xc1"} {
+		_, err := readMessage(bufio.NewReader(strings.NewReader(text)))
+		if !errors.Is(err, errMalformed) {
+			t.Errorf("%.8q: %v", text, err)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for text, want := range map[string]any{"\x05": int64(5), "\xff": int64(-1), "\xd0\x80": int64(-128),
+		"\xd3\xff\xff\xff\xff\xff\xff\xff\xfe": int64(-2), "\xcd\x01\x00": uint64(256),
+		"\xcb\x3f\xf0\x00\x00\x00\x00\x00\x00": 1.0, "\xca\x3f\x80\x00\x00": 1.0, "\xc3": true} {
+		if v, err := readMessage(bufio.NewReader(strings.NewReader(text))); err != nil || v != want {
+			t.Errorf("%q: %v (%v), want %v", text, v, err, want)
+		}
+	}
+	for _, n := range []uint64{0, 127, 128, 255, 256, 65535, 65536, math.MaxUint32, math.MaxUint32 + 1, math.MaxUint64} {
+		v, err := readMessage(bufio.NewReader(bytes.NewReader(appendUint(nil, n))))
+		if got, ok := toUint(v); err != nil || !ok || got != n {
+			t.Errorf("%d comes back as %v (%v)", n, v, err)
+		}
+	}
+}
+
+func TestFields(t *testing.T) {
+	good := func() map[string]any {
+		return map[string]any{"ref": "9b1f03aa5c7e2d41", "allow": "1500", "lookup": "7f3a9c21e0b4d655", "block": "3",
+			"family": "17", "room": "412.5", "cached": "4be0c1927d55a6f3", "replay": "5c0f6e1a2b3d4c59"}
+	}
+	q, err := parseRequest("segment", []any{good(), []byte("body")}, true)
+	if err != nil || q.ID != "9b1f03aa5c7e2d41" || q.Allow != 1500 || q.Object != "7f3a9c21e0b4d655" || q.Part != 3 ||
+		q.Group != 17 || q.SizeKb != 412.5 || q.Have != "4be0c1927d55a6f3" || q.Key != "5c0f6e1a2b3d4c59" ||
+		string(q.Body) != "body" || q.Class != "segment" {
+		t.Fatalf("%+v, %v", q, err)
+	}
+	for name, value := range map[string]any{"ref": "", "allow": "soon", "lookup": "a,next=s-1", "block": "-1",
+		"family": "NaN", "room": "1e400", "cached": uint64(4), "replay": strings.Repeat("a", 65)} {
+		bad := good()
+		bad[name] = value
+		if _, err := parseRequest("segment", []any{bad, []byte(nil)}, true); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s = %v: %v", name, value, err)
+		}
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -25,7 +26,9 @@
 	idleLimit   = 60_000      // clients close idle connections after 4 s; this is for those that vanished
 	frameLimit  = 10_000      // for the rest of a message once it has begun
 	writeLimit  = 10_000      // for one answer: a client that takes none of it is gone
+	lastLook    = 50          // for a message already on its way when the connection is to be closed
 	lingerLimit = 250         // for what crosses our close
+	requestCost = 8 << 10     // bytes that an open request takes besides its body
 	acceptPause = 20          // after an accept that failed
 	readBuffer  = 4 << 10
 	logEvery    = 1000
@@ -37,7 +40,7 @@
 	Ready      func() bool
 	Keyed      map[string]bool // the classes, and whether their requests carry an idempotency key
 	MostConns  int64
-	MostQueued int64   // bytes of answers waiting to be written on all connections
+	MostQueued int64   // bytes of open requests and of answers waiting to be written, on all connections
 	Patience   float64 // how long open requests may hold up the end of Serve
 	Clock      *clock.Clock
 	Log        zerolog.Logger
@@ -120,7 +123,7 @@
 	}
 }
 
-// reserve books n bytes of answers, unless too many wait.
+// reserve books n bytes, unless too many are booked already; a negative n gives them back.
 func (s *Server) reserve(n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,30 +192,32 @@
 	c.net.SetReadDeadline(time.Unix(1, 0))
 }
 
-// await sets the time by which the next message must begin; mayClose tells that none is awaited.
-func (c *conn) await() (mayClose bool) {
+// await sets the time by which the next message must begin. When the connection is not wanted any more, that is
+// soon: what the client wrote before it could know counts as taken.
+func (c *conn) await() (last bool) {
 	draining := c.server.draining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.net.SetReadDeadline(clock.Deadline(idleLimit))
-	return draining && len(c.open) == 0
+	last = draining && len(c.open) == 0
+	wait := float64(idleLimit)
+	if last {
+		wait = lastLook
+	}
+	c.net.SetReadDeadline(clock.Deadline(wait))
+	return last
 }
 
 // read takes in messages. It returns nil when the connection has nothing open and is not wanted any more.
 func (c *conn) read(ctx context.Context, requests *sync.WaitGroup) error {
 	in := bufio.NewReaderSize(c.net, readBuffer)
 	for {
-		if c.await() && in.Buffered() == 0 {
-			return nil
-		}
+		since := c.server.Clock.Now()
+		last := c.await()
 		if _, err := in.Peek(1); err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
 			}
-			c.mu.Lock()
-			idle := len(c.open) == 0
-			c.mu.Unlock()
-			if idle {
+			if last || c.idle() && c.server.Clock.Now()-since >= idleLimit {
 				return nil
 			}
 			continue
@@ -233,6 +238,12 @@
 	}
 }
 
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0
+}
+
 // take acts on one message; an error ends the connection.
 func (c *conn) take(ctx context.Context, m message, arrived float64, requests *sync.WaitGroup) error {
 	s := c.server
@@ -261,9 +272,10 @@
 	q.Arrived = arrived
 	c.mu.Lock()
 	_, twice := c.open[m.id]
-	full := len(c.open) >= maxOpen
+	cost := int64(requestCost + len(q.Body))
+	full := twice || len(c.open) >= maxOpen || !s.reserve(cost) // guards memory against a flood of requests
 	var one context.Context
-	if !twice && !full {
+	if !full {
 		one, c.open[m.id] = context.WithCancel(ctx)
 	}
 	c.mu.Unlock()
@@ -274,7 +286,8 @@
 		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Full", "cooldown", "100")}})
 	}
 	requests.Go(func() {
-		a := s.Handle(one, q)
+		defer s.reserve(-cost)
+		a := s.handle(one, q)
 		if c.finish(m.id) && a.Verdict != router.None {
 			if err := c.answer(m.id, a); err != nil {
 				s.fault(err)
@@ -285,6 +298,17 @@
 	return nil
 }
 
+// handle keeps a panic in one request from taking all others down with it.
+func (s *Server) handle(ctx context.Context, q router.Request) (a router.Answer) {
+	defer func() {
+		if p := recover(); p != nil {
+			a = router.Answer{Verdict: router.Failed}
+			s.Log.Error().Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("request failed")
+		}
+	}()
+	return s.Handle(ctx, q)
+}
+
 // cancel ends requests whose client no longer waits; none of them is answered.
 func (c *conn) cancel(ids []any) {
 	for _, v := range ids {
--- /dev/null
+++ b/internal/msgpackrpc/server_test.go
@@ -0,0 +1,182 @@
+package msgpackrpc
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"reflect"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/clock"
+	"spantack/internal/router"
+)
+
+// client is the test's side of a connection; the test is the router too, by way of asked.
+type client struct {
+	t *testing.T
+	net.Conn
+	in    *bufio.Reader
+	asked chan *asked
+	stop  context.CancelFunc
+	ended chan error
+	addr  string
+}
+
+type asked struct {
+	router.Request
+	ctx    context.Context
+	answer chan router.Answer
+}
+
+func start(t *testing.T) *client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &client{t: t, asked: make(chan *asked, 4), ended: make(chan error, 1), addr: l.Addr().String()}
+	s := &Server{Ready: func() bool { return true }, Keyed: map[string]bool{"page": false, "report": true}, MostConns: 2,
+		MostQueued: 1 << 20, Patience: 60_000, Clock: &clock.Clock{}, Log: zerolog.Nop(),
+		Handle: func(ctx context.Context, q router.Request) router.Answer {
+			a := &asked{q, ctx, make(chan router.Answer)}
+			c.asked <- a
+			select {
+			case answer := <-a.answer:
+				return answer
+			case <-ctx.Done():
+				return router.Answer{}
+			}
+		}}
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	go func() { c.ended <- s.Serve(ctx, l) }()
+	if c.Conn, err = net.Dial("tcp", c.addr); err != nil {
+		t.Fatal(err)
+	}
+	c.in = bufio.NewReader(c.Conn)
+	t.Cleanup(func() { stop(); c.Close() })
+	return c
+}
+
+func (c *client) request(id uint64, method, ref string) {
+	c.Write(encode(nil, []any{uint64(0), id, method, []any{map[string]any{"ref": ref, "allow": "1500"}, []byte(nil)}}))
+}
+
+func (c *client) expect(want string) {
+	c.t.Helper()
+	v, err := readMessage(c.in)
+	if got := fmt.Sprintf("%v", v); err != nil || got != want {
+		c.t.Fatalf("got %s (%v), want %s", got, err, want)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	c := start(t)
+	c.Write(encode(nil, []any{uint64(0), uint64(1), "health", []any{map[string]any{}}}))
+	c.expect("[1 1 <nil> [true map[]]]")
+	c.request(2, "page", "r2")
+	c.request(3, "page", "r3")
+	c.request(4, "page", "r4")
+	byRef := map[string]*asked{}
+	for range 3 {
+		a := <-c.asked
+		byRef[a.ID] = a
+	}
+	byRef["r4"].answer <- router.Answer{Verdict: router.Served, Body: []byte{0, 255}}
+	c.expect("[1 4 <nil> [[0 255] map[]]]")
+	byRef["r2"].answer <- router.Answer{Verdict: router.Served, Same: true}
+	c.expect("[1 2 <nil> [[] map[keep:1]]]")
+	byRef["r3"].answer <- router.Answer{Verdict: router.Refused, RetryAfter: 99.6}
+	c.expect("[1 3 [Full map[cooldown:100]] <nil>]")
+	c.request(5, "page", "r5")
+	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 5 [Error map[]] <nil>]")
+}
+
+// What can't be used is answered under its message id, and the connection lives on.
+func TestUnusable(t *testing.T) {
+	c := start(t)
+	c.request(1, "film", "r1")
+	c.expect("[1 1 [Error map[reason:unknown method]] <nil>]")
+	c.request(2, "page", "")
+	c.expect("[1 2 [Error map[reason:field ref can't be used]] <nil>]")
+	c.request(3, "report", "r3")
+	c.expect("[1 3 [Error map[reason:field replay can't be used]] <nil>]")
+}
+
+// A cancelled request gets no answer, though its id was open a moment ago.
+func TestCancel(t *testing.T) {
+	c := start(t)
+	c.request(1, "page", "r1")
+	a := <-c.asked
+	c.Write(encode(nil, []any{uint64(2), "cancel", []any{uint64(1), uint64(99)}}))
+	<-a.ctx.Done()
+	c.request(2, "page", "r2")
+	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 2 [Error map[]] <nil>]")
+}
+
+// A malformed stream ends that connection and its requests; the next one is served.
+func TestMalformed(t *testing.T) {
+	for _, text := range []string{"\xc1", "GET / HTTP/1.1\r\n\r\n", "\x93\x00\x01\x02",
+		string(encode(nil, []any{uint64(0), uint64(1), "page", []any{map[string]any{"ref": "r2", "allow": "9"}, []byte(nil)}}))} {
+		c := start(t)
+		c.request(1, "page", "r1")
+		a := <-c.asked
+		c.Write([]byte(text))
+		<-a.ctx.Done()
+		if _, err := c.in.ReadByte(); err == nil {
+			t.Errorf("%q: the connection is still open", text)
+		}
+		next, err := net.Dial("tcp", c.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Write(encode(nil, []any{uint64(0), uint64(1), "health", []any{}}))
+		want := []any{int64(1), int64(1), nil, []any{true, map[string]any{}}}
+		if v, err := readMessage(bufio.NewReader(next)); err != nil || !reflect.DeepEqual(v, want) {
+			t.Errorf("%q: then %v, %v", text, v, err)
+		}
+		next.Close()
+	}
+}
+
+// At the end what was taken is still answered, and the connection closes after it.
+func TestDrain(t *testing.T) {
+	c := start(t)
+	c.request(1, "page", "r1")
+	a := <-c.asked
+	c.stop()
+	a.answer <- router.Answer{Verdict: router.Served, Body: []byte("x")}
+	c.expect("[1 1 <nil> [[120] map[]]]")
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+	c.Close()
+	if err := <-c.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Answers that nobody reads are bounded, by connection and in bytes.
+func TestQueueBounds(t *testing.T) {
+	s := &Server{MostQueued: 100, Clock: &clock.Clock{}}
+	c := &conn{server: s, queue: make(chan answer, 1)}
+	if err := c.answer(1, router.Answer{Verdict: router.Served, Body: make([]byte, 80)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.answer(2, router.Answer{Verdict: router.Served, Body: make([]byte, 10)}); err == nil || s.queued != 80 {
+		t.Errorf("a full queue takes another answer: %v, %d bytes booked", err, s.queued)
+	}
+	<-c.queue
+	if err := c.answer(3, router.Answer{Verdict: router.Served, Body: make([]byte, 30)}); err != nil || s.queued != 80 {
+		t.Errorf("%v, %d bytes booked", err, s.queued)
+	}
+	if text := string((<-c.queue).parts[0]); text != string(appendError(nil, 3, "Error", "reason", "too many answers wait")) {
+		t.Errorf("%q", text)
+	}
+}
--- a/internal/resp/codec.go
+++ b/internal/resp/codec.go
@@ -15,11 +15,13 @@
 	"spantack/rules"
 )
 
-// The most that an answer may hold; lengths are checked before anything is allocated.
+// MaxBody is the longest body that an answer may have; an object has 240,000 bytes at most.
+const MaxBody = 256 << 10
+
+// The most that an answer may hold besides; lengths are checked before anything is allocated.
 const (
 	maxParts  = 8
 	maxWord   = 4 << 10
-	maxBody   = 256 << 10
 	maxLine   = 16
 	bodyPlace = 3 // ID WORD FIELDS BODY
 )
@@ -36,7 +38,7 @@
 	for i := range parts {
 		limit := maxWord
 		if i == bodyPlace {
-			limit = maxBody
+			limit = MaxBody
 		}
 		size, err := readLength(in, '$', limit)
 		if err != nil {
--- /dev/null
+++ b/internal/resp/codec_test.go
@@ -0,0 +1,119 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+
+	"spantack/internal/router"
+	"spantack/rules"
+)
+
+func drawArray(t *rapid.T) [][]byte {
+	return rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 0, 60), 0, maxParts).Draw(t, "parts")
+}
+
+// Whatever way the network cuts a stream of answers, they come out as they went in.
+func TestCutArrays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		want := rapid.SliceOfN(rapid.Custom(drawArray), 1, 4).Draw(t, "arrays")
+		for _, parts := range want {
+			stream = appendArray(stream, parts...)
+		}
+		in := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(stream)), 16)
+		for _, parts := range want {
+			got, err := readArray(in)
+			if err != nil || !bytes.Equal(bytes.Join(got, []byte{0, 1}), bytes.Join(parts, []byte{0, 1})) {
+				t.Fatalf("got %q (%v), want %q", got, err, parts)
+			}
+		}
+		short := bufio.NewReader(bytes.NewReader(stream[:rapid.IntRange(0, len(stream)).Draw(t, "cut")]))
+		for {
+			if _, err := readArray(short); err == io.EOF || err == io.ErrUnexpectedEOF {
+				return
+			} else if err != nil {
+				t.Fatalf("a cut is no malformed answer: %v", err)
+			}
+		}
+	})
+}
+
+// Garbage ends in an error or an answer, never in a panic or a large allocation.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		garbage := rapid.SliceOfN(rapid.SampledFrom([]byte("*$0149\r\nOKMISnlow=,-\x00")), 0, 80).Draw(t, "garbage")
+		if rapid.Bool().Draw(t, "damaged") {
+			garbage = appendArray(nil, []byte("9b1f"), []byte("OK"), []byte("n=TCP_HIT,slow=3"), []byte("body"))
+			garbage[rapid.IntRange(0, len(garbage)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		parts, err := readArray(bufio.NewReader(bytes.NewReader(garbage)))
+		if err == nil {
+			_, _, err = parseAnswer(parts)
+		}
+		if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF && !errors.Is(err, errMalformed) {
+			t.Fatalf("unexpected kind of error: %v", err)
+		}
+	})
+}
+
+// A length is checked before it is believed, and only the body may be long.
+func TestLengths(t *testing.T) {
+	for _, text := range []string{"*9\r\n", "*-1\r\n", "*1\r\n$99999999\r\n", "*1\r\n$5000\r\n", "*1\r\n$1\r\nabc",
+		"$1\r\na\r\n", "*1\n$1\r\na\r\n", "*00000000000000001\r\n"} {
+		if _, err := readArray(bufio.NewReader(strings.NewReader(text))); !errors.Is(err, errMalformed) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		parts []string
+		want  router.End
+	}{
+		{[]string{"a", "OK", "sum=1f,t0=1764576000123,n=TCP_MISS_ROOT,slow=41.5", "bytes"},
+			router.End{Code: rules.Done, Note: 3, Waited: 41.5, Body: []byte("bytes")}},
+		{[]string{"a", "SAME", "n=TCP_HIT", ""}, router.End{Code: rules.Done, Note: 1, Same: true}},
+		{[]string{"a", "MISS", "n=PEER_DEAD,slow=800", ""}, router.End{Code: rules.Miss, Note: 7, Waited: 800}},
+		{[]string{"a", "BUSY", "n=PEER_DENY", "why"}, router.End{Code: rules.Busy, Note: 6}},
+		{[]string{"a", "ERR", "n=ROOT_FAIL", ""}, router.End{Code: rules.Failed, Note: 10}},
+		{[]string{"a", "VOID", "-"}, router.End{Code: rules.Skipped}},
+	} {
+		var parts [][]byte
+		for _, p := range c.parts {
+			parts = append(parts, []byte(p))
+		}
+		id, end, err := parseAnswer(parts)
+		if err != nil || id != "a" || end.Code != c.want.Code || end.Note != c.want.Note || end.Waited != c.want.Waited ||
+			end.Same != c.want.Same || !bytes.Equal(end.Body, c.want.Body) {
+			t.Errorf("%q: %+v, %v", c.parts, end, err)
+		}
+	}
+	for _, fields := range []string{"n=TCP_HOT", "slow=soon", "slow=NaN", "slow=-1"} {
+		if _, _, err := parseAnswer([][]byte{[]byte("a"), []byte("OK"), []byte(fields), nil}); err == nil {
+			t.Errorf("%q passes", fields)
+		}
+	}
+}
+
+func TestGet(t *testing.T) {
+	q := &router.Request{ID: "9b1f", Class: "catalogue", Object: "7f3a", Part: 2, Key: "5c0f", Have: "4be0", Body: []byte("ask")}
+	got := string(appendGet(nil, router.Attempt{Request: q, Source: "s-00c41f7a", Patience: 1499.9, Keep: 1,
+		MaxAge: 0.4, How: rules.HeldOnly | rules.Renew}))
+	want := "*4\r\n$3\r\nGET\r\n$4\r\n9b1f\r\n$116\r\nsort=catalogue,asset=7f3a,slice=2,patience=1499,op=5c0f," +
+		"next=s-00c41f7a,admit=1,agelim=1,ways=held+renew,cached=4be0\r\n$3\r\nask\r\n"
+	if got != want {
+		t.Errorf("got  %q\nwant %q", got, want)
+	}
+	// An age limit of 0 would mean the class's fresh time, so a limit under a millisecond becomes 1; none stays absent.
+	if bare := string(appendGet(nil, router.Attempt{Request: &router.Request{ID: "a"}})); strings.Contains(bare, "agelim") {
+		t.Errorf("%q", bare)
+	}
+}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -28,14 +28,15 @@
 }
 
 const (
-	idleShare   = 0.8 // of IdleClose, after which we close first: a close that crosses an attempt proves nothing
-	writeLimit  = 2000
-	queueRoom   = 64   // commands waiting to be written on one connection
-	dropPatient = 20   // ms to wait for a DROP to be written
-	dropMemory  = 2000 // ms within which the next attempt of a dropped id would come
-	readBuffer  = 4 << 10
-	connsEach   = 24 // connections to one server before they are shared
-	logEvery    = 1000
+	idleShare    = 0.8  // of IdleClose, after which we close first: a close that crosses an attempt proves nothing
+	suspectClose = 500  // ms that a silent connection stays for what may yet come, and for its last DROP
+	writeLimit   = 2000 // ms for one command
+	queueRoom    = 64   // commands waiting to be written on one connection
+	dropPatient  = 20   // ms to wait for a DROP to be written
+	dropMemory   = 2000 // ms within which the next attempt of a dropped id would come
+	readBuffer   = 4 << 10
+	connsEach    = 24 // connections to one server before they are shared
+	logEvery     = 1000
 )
 
 // Pools hold the connections to every server, by the server's id and address: addresses are used again, and what
@@ -72,6 +73,8 @@
 	dropped map[string]float64 // when ids were given up here: their next attempt must follow on this connection
 	idle    *clock.Timer
 	used    float64
+	heard   float64 // when the last answer came
+	suspect bool    // an attempt was given up here and nothing had come since it was sent
 	dead    bool
 }
 
@@ -86,6 +89,7 @@
 	pools  *Pools
 	try    router.Attempt
 	chosen float64
+	sent   float64
 	conn   *conn // nil until a connection takes it
 	over   bool
 	done   chan router.End
@@ -168,7 +172,7 @@
 		switch {
 		case c.dropped[id] != 0: // its DROP must get there first, or two attempts would be out at once
 			return c, false
-		case len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
+		case c.suspect || len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
 		case best == nil || len(c.calls) < len(best.calls) || len(c.calls) == len(best.calls) && c.used > best.used:
 			best = c
 		}
@@ -232,7 +236,8 @@
 	case c.queue <- command{text: appendGet(nil, k.try), call: k}:
 		k.conn = c
 		c.calls[k.try.ID] = k
-		c.used = p.clock.Now()
+		k.sent = p.clock.Now()
+		c.used = k.sent
 		c.idle.Stop()
 		delete(c.dropped, k.try.ID)
 	default:
@@ -249,8 +254,12 @@
 		c.close()
 		return
 	}
+	wait := idleShare * c.pool.owner.opt.IdleClose
+	if c.suspect {
+		wait = suspectClose
+	}
 	c.idle.Stop()
-	c.idle = c.pool.owner.clock.AfterFunc(idleShare*c.pool.owner.opt.IdleClose, func() {
+	c.idle = c.pool.owner.clock.AfterFunc(wait, func() {
 		c.pool.owner.mu.Lock()
 		defer c.pool.owner.mu.Unlock()
 		if len(c.calls) == 0 {
@@ -311,6 +320,9 @@
 	now := p.clock.Now()
 	maps.DeleteFunc(c.dropped, func(_ string, at float64) bool { return now-at > dropMemory })
 	c.dropped[k.try.ID] = now
+	// Guards against connections that went silent without a reset: they look idle and would swallow one attempt
+	// after the other.
+	c.suspect = c.suspect || c.heard < k.sent
 	written := make(chan struct{})
 	queued := false
 	select {
@@ -374,7 +386,8 @@
 			delete(c.calls, id)
 			k.end(end)
 		}
-		c.used = p.clock.Now()
+		c.heard = p.clock.Now()
+		c.used, c.suspect = c.heard, false
 		c.rest()
 		p.mu.Unlock()
 	}
--- /dev/null
+++ b/internal/resp/pool_test.go
@@ -0,0 +1,233 @@
+package resp
+
+import (
+	"bufio"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/clock"
+	"spantack/internal/router"
+	"spantack/rules"
+)
+
+// cache is the test's side of a server.
+type cache struct {
+	t *testing.T
+	net.Listener
+}
+
+type link struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func listen(t *testing.T) *cache {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &cache{t, l}
+}
+
+func (c *cache) accept() *link {
+	nc, err := c.Accept()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { nc.Close() })
+	return &link{c.t, nc, bufio.NewReader(nc)}
+}
+
+// command reads the verb and id of the next command.
+func (l *link) command() string {
+	parts, err := readArray(l.in)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return string(parts[0]) + " " + string(parts[1])
+}
+
+func (l *link) expect(want ...string) {
+	l.t.Helper()
+	for _, w := range want {
+		if got := l.command(); got != w {
+			l.t.Fatalf("got %q, want %q", got, w)
+		}
+	}
+}
+
+func (l *link) say(words ...string) {
+	var parts [][]byte
+	for _, w := range words {
+		parts = append(parts, []byte(w))
+	}
+	l.Write(appendArray(nil, parts...))
+}
+
+func newPools(t *testing.T, addr string) (*Pools, *clock.Clock) {
+	fake := clock.NewFake(1000)
+	p := NewPools(t.Context(), Options{DialTimeout: 5000, IdleClose: 30_000, MaxStreams: 2, MostConns: 2, MostWait: 300}, fake, zerolog.Nop())
+	list(p, "s-1", addr)
+	return p, fake
+}
+
+func list(p *Pools, id, addr string) {
+	p.Apply(router.Notice{Servers: []router.Server{{ID: id, Addr: addr, Status: "healthy"}}})
+}
+
+func send(p *Pools, id string) router.Call {
+	return p.Send(router.Attempt{Request: &router.Request{ID: id}, Server: "s-1"})
+}
+
+func (c *cache) addr() string { return c.Addr().String() }
+
+func wantCode(t *testing.T, k router.Call, want rules.Code) router.End {
+	t.Helper()
+	e := <-k.Done()
+	if e.Code != want {
+		t.Errorf("ended %q, want %q", e.Code, want)
+	}
+	return e
+}
+
+// Answers find their attempts in any order, two connections are opened before one is shared, and none gets more than
+// MaxStreams: what finds no place was never sent.
+func TestPlaces(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	a := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	b := send(p, "b")
+	two := c.accept()
+	two.expect("GET b")
+	more := []router.Call{send(p, "c"), send(p, "d")}
+	wantCode(t, send(p, "e"), rules.Skipped)
+	ids := []string{one.command(), two.command()}
+	slices.Sort(ids)
+	if ids[0] != "GET c" || ids[1] != "GET d" {
+		t.Fatalf("shared by %q", ids)
+	}
+	two.say("b", "OK", "n=TCP_HIT", "bytes of b")
+	one.say("a", "MISS", "-", "")
+	if e := wantCode(t, b, rules.Done); string(e.Body) != "bytes of b" || e.Note != 1 {
+		t.Errorf("%+v", e)
+	}
+	wantCode(t, a, rules.Miss)
+	one.Close()
+	two.Close()
+	for _, k := range more { // a break proves nothing
+		wantCode(t, k, rules.Reset)
+	}
+}
+
+// The next attempt of a request goes behind the DROP of the one before, on its connection: the server must never see
+// two of them at once.
+func TestDropThenGet(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	k.Drop()
+	again := send(p, "a")
+	one.expect("DROP a", "GET a")
+	one.say("a", "OK", "-", "x")
+	wantCode(t, again, rules.Done)
+}
+
+// Nothing listens: the refusal proves that nothing ran.
+func TestRefused(t *testing.T) {
+	c := listen(t)
+	addr := c.addr()
+	c.Close()
+	p, _ := newPools(t, addr)
+	wantCode(t, send(p, "a"), rules.Refused)
+}
+
+// A new machine at an old address gets a connection of its own, and one that left the list gets nothing.
+func TestAddressReused(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	k := send(p, "a")
+	old := c.accept()
+	old.expect("GET a")
+	p.Apply(router.Notice{Servers: []router.Server{{ID: "s-1", Status: "deregistered"}}})
+	wantCode(t, send(p, "b"), rules.Skipped)
+	list(p, "s-2", c.addr())
+	fresh := p.Send(router.Attempt{Request: &router.Request{ID: "b"}, Server: "s-2"})
+	c.accept().expect("GET b")
+	old.say("a", "OK", "-", "late but whole")
+	wantCode(t, k, rules.Done)
+	if _, err := old.in.ReadByte(); err == nil {
+		t.Error("the old connection stays open with nothing out on it")
+	}
+	fresh.Drop()
+}
+
+// A malformed answer ends the connection and what is out on it, not the process.
+func TestMalformed(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	one.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	wantCode(t, k, rules.Reset)
+	if p.mu.Lock(); p.faults != 1 {
+		t.Errorf("%d faults counted", p.faults)
+	}
+	p.mu.Unlock()
+}
+
+// An idle connection is closed here before the server would: an attempt that crosses a close proves nothing.
+func TestIdle(t *testing.T) {
+	c := listen(t)
+	p, fake := newPools(t, c.addr())
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	one.say("a", "MISS", "-", "")
+	wantCode(t, k, rules.Miss)
+	// the reader arms the idle close under the same lock as it ends the attempt
+	p.mu.Lock()
+	p.mu.Unlock()
+	fake.Advance(24_000)
+	if _, err := one.in.ReadByte(); err == nil {
+		t.Error("still open")
+	}
+}
+
+// An attempt that waited for its connection past the time in which a drain or a purge binds is not sent.
+func TestWaitedTooLong(t *testing.T) {
+	p, fake := newPools(t, "127.0.0.1:1")
+	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}}, chosen: fake.Now(), done: make(chan router.End, 1)}
+	fake.Advance(301)
+	near, far := net.Pipe()
+	defer far.Close()
+	p.mu.Lock()
+	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 1), calls: map[string]*call{}, gone: make(chan struct{})}
+	c.start(k)
+	p.mu.Unlock()
+	if wantCode(t, k, rules.Refused); len(c.queue) != 0 {
+		t.Error("it was sent all the same")
+	}
+}
+
+// Fields that would break the list of pairs never get this far, but a body holds any bytes.
+func TestBodyUnchanged(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	body := strings.Repeat("\r\n$3\x00", 9600)
+	p.Send(router.Attempt{Request: &router.Request{ID: "a", Body: []byte(body)}, Server: "s-1"})
+	parts, err := readArray(c.accept().in)
+	if err != nil || string(parts[3]) != body {
+		t.Errorf("%d bytes, %v", len(parts), err)
+	}
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"context"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/clock"
+	"spantack/rules"
+)
+
+// upstream hands attempts to the test, which plays the servers.
+type upstream struct{ sent chan *call }
+
+type call struct {
+	Attempt
+	done    chan End
+	dropped chan struct{}
+}
+
+func (u *upstream) Send(a Attempt) Call {
+	c := &call{Attempt: a, done: make(chan End, 1), dropped: make(chan struct{}, 1)}
+	u.sent <- c
+	return c
+}
+
+func (c *call) Done() <-chan End { return c.done }
+func (c *call) Drop()            { c.dropped <- struct{}{} }
+
+// rig is a router with one cache, one parent and the origin, and a clock that the test moves.
+type rig struct {
+	*Router
+	clock  *clock.Clock
+	up     *upstream
+	cancel context.CancelFunc
+	answer chan Answer
+}
+
+func newRig(t *testing.T, kinds ...string) *rig {
+	t.Helper()
+	set := rules.Settings{
+		Classes: []rules.Class{{Name: "page", Deadline: 3_000_000, Promise: 400_000, AimStretch: 2, Gain: 1,
+			Idempotency: "read_like", Group: "all"}},
+		Extra: rules.Extra{MasterKind: 2, ShieldKind: 1, FreshFor: []int64{20_000_000}, GraceFor: []int64{10_000_000},
+			NotesGiven: "all", PaceKbPerS: 2000, PurgeTakes: 6_000_000, Straight: true},
+		Kinds:       []string{"box", "parent", "origin"},
+		Permissions: rules.Permissions{Cancelling: true, MaxAttempts: 8, MaxRetryAfter: 1_000_000},
+		Zone:        "east",
+		Zones:       []string{"east", "hub"},
+	}
+	g := &rig{clock: clock.NewFake(1_764_576_000_000), up: &upstream{make(chan *call, 1)}, answer: make(chan Answer, 1)}
+	var err error
+	if g.Router, err = New(set, 1, g.clock, g.up, zerolog.Nop()); err != nil {
+		t.Fatal(err)
+	}
+	n := Notice{Whole: true}
+	for _, kind := range kinds {
+		n.Servers = append(n.Servers, Server{ID: kind + "-1", Zone: "east", Kind: kind, Status: "healthy", Weight: 4})
+	}
+	g.Apply(n)
+	return g
+}
+
+func (g *rig) serve(id string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go func() {
+		g.answer <- g.Serve(ctx, Request{ID: id, Class: "page", Object: "front", SizeKb: 100, Allow: 1500, Arrived: g.clock.Now()})
+	}()
+}
+
+func TestServed(t *testing.T) {
+	g := newRig(t, "box", "parent", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	if c.Server != "box-1" || c.Source != "parent-1" || c.Keep != 1 || c.MaxAge > 20_000 || c.MaxAge < 16_000 || c.Patience != 1475 {
+		t.Errorf("first attempt %+v", c.Attempt)
+	}
+	c.done <- End{Code: rules.Done, Note: 2, Body: []byte("bytes")}
+	if a := <-g.answer; a.Verdict != Served || string(a.Body) != "bytes" {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// After a failed fill the same cache is asked for any held copy within the grace, with no fill; a miss there with no
+// source left ends in a refusal that says when to come back.
+func TestGraceThenRefusal(t *testing.T) {
+	g := newRig(t, "box", "parent", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	c.done <- End{Code: rules.Failed, Note: 7, Waited: 300}
+	held := <-g.up.sent
+	if held.Server != "box-1" || held.Source != "" || held.MaxAge != 30_000 {
+		t.Errorf("held attempt %+v", held.Attempt)
+	}
+	held.done <- End{Code: rules.Miss}
+	origin := <-g.up.sent
+	origin.done <- End{Code: rules.Busy, Note: 6}
+	(<-g.up.sent).done <- End{Code: rules.Miss}
+	if a := <-g.answer; a.Verdict != Refused || a.RetryAfter <= 0 || a.RetryAfter > 1000 {
+		t.Errorf("answer %+v", a)
+	}
+	if n := g.Counters.Sent.Load(); n != 4 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// An attempt that ends in nothing is given up before the client's time is over, and the request still gets its answer.
+func TestDeadline(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	g.clock.Advance(1475)
+	<-c.dropped
+	if a := <-g.answer; a.Verdict != Refused {
+		t.Errorf("answer %+v", a)
+	}
+	if len(g.mail) != 0 {
+		t.Errorf("%d mailboxes left", len(g.mail))
+	}
+}
+
+// A client that left is owed no answer, and what was out for it is given up.
+func TestClientGone(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	g.cancel()
+	<-c.dropped
+	if a := <-g.answer; a.Verdict != None || g.Counters.Gone.Load() != 1 {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// A fault in the module costs neither the process nor the one answer.
+func TestModuleFails(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.rules = nil // panics at any event
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for g.Counters.Faults.Load() == 0 {
+			g.clock.Advance(0)
+		}
+		g.clock.Advance(2000)
+	}()
+	g.serve("r1")
+	if a := <-g.answer; a.Verdict != Failed || g.Counters.Overdue.Load() != 1 {
+		t.Errorf("answer %+v", a)
+	}
+	<-done
+}
+
+// Two open requests of one id would get each other's answers.
+func TestSameID(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	if a := g.Serve(context.Background(), Request{ID: "r1", Class: "page", Allow: 1000, Arrived: g.clock.Now()}); a.Verdict != Failed {
+		t.Errorf("the second got %+v", a)
+	}
+	c.done <- End{Code: rules.Done, Same: true}
+	if a := <-g.answer; a.Verdict != Served || !a.Same {
+		t.Errorf("the first got %+v", a)
+	}
+}
+
+// A drain binds the very next request, and without any server left there is still an answer.
+func TestDrain(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.Apply(Notice{Servers: []Server{{ID: "box-1", Zone: "east", Kind: "box", Status: "cordoned"}}})
+	g.serve("r1")
+	if c := <-g.up.sent; c.Server != "origin-1" {
+		t.Errorf("sent to %s", c.Server)
+	} else {
+		g.Apply(Notice{Whole: true})
+		c.done <- End{Code: rules.Reset}
+	}
+	if a := <-g.answer; a.Verdict != Refused {
+		t.Errorf("answer %+v", a)
+	}
+}
