Go back to a silent server only by a new connection

At fault: pick in internal/resp/pool.go, which put the next attempt of a request behind its DROP on the same connection even if nothing had been heard there since. A machine that is cut off never reads the DROP. Now such a connection is closed first, which gives up what is open on it; the attempt opens a new one and is refused if none comes up. A connection that speaks keeps its order: DROP, then GET.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -170,8 +170,13 @@
 func (l *pool) pick(id string) (best *conn, open bool) {
 	for _, c := range l.conns {
 		switch {
-		case c.dropped[id] != 0: // its DROP must get there first, or two attempts would be out at once
+		case c.dropped[id] != 0 && !c.suspect: // its DROP must get there first, or two attempts would be out at once
 			return c, false
+		case c.dropped[id] != 0 && len(c.calls) > 0:
+			return nil, false
+		case c.dropped[id] != 0: // a machine that was cut off has read no DROP: the close gives up what it holds
+			c.close()
+			return nil, l.owner.conns < l.owner.opt.MostConns
 		case c.suspect || len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
 		case best == nil || len(c.calls) < len(best.calls) || len(c.calls) == len(best.calls) && c.used > best.used:
 			best = c
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"slices"
 	"strings"
@@ -135,6 +136,10 @@
 	k := send(p, "a")
 	one := c.accept()
 	one.expect("GET a")
+	one.say("a", "OK", "-", "x")
+	wantCode(t, k, rules.Done)
+	k = send(p, "a") // the connection has been heard of as late as this was sent
+	one.expect("GET a")
 	k.Drop()
 	again := send(p, "a")
 	one.expect("DROP a", "GET a")
@@ -142,6 +147,28 @@
 	wantCode(t, again, rules.Done)
 }
 
+// A connection that has been silent since an attempt went out may belong to a machine that is cut off and never reads
+// the DROP. The next attempt of that request there was counted as a second copy (fleet day, seed 11, a lost depot):
+// the old connection is closed first, which gives up what is open on it, and a new one opened.
+func TestDropOnSilentConnection(t *testing.T) {
+	c := listen(t)
+	p, fake := newPools(t, c.addr())
+	fake.Advance(1)
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	k.Drop()
+	again := send(p, "a")
+	one.expect("DROP a")
+	if _, err := readArray(one.in); err != io.EOF {
+		t.Errorf("on the silent connection: %v", err)
+	}
+	two := c.accept()
+	two.expect("GET a")
+	two.say("a", "OK", "-", "x")
+	wantCode(t, again, rules.Done)
+}
+
 // Nothing listens: the refusal proves that nothing ran.
 func TestRefused(t *testing.T) {
 	c := listen(t)
