Read a begun message to its end in a drain, free idle connections in need, test the rest

Seen on review of the code, not on the bench: the end of serving set a read deadline in the past on every client connection, also on one in the middle of a message, which lost that request and all open on the connection; and connections idle at some servers could use up the total, so that another server got none. At fault: poke in internal/msgpackrpc/server.go, pick in internal/resp/pool.go. Each has a small test; so do clock, configuration, and the whole program from its known events through a request to the answer owed after SIGTERM. Configuration errors now name fields as the file spells them.

--- /dev/null
+++ b/cmd/spantack/main_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+
+	"spantack/internal/config"
+)
+
+const document = `{"seed":"01","limits":{"memory_mb":192,"sockets":256},"board":%q,"known":{"rev":1,"notices":[{"rev":1,
+	"pool":{"all":true,"targets":[{"uid":"s-00000001","endpoint":%q,"az":"east","model":"box","state":"Ready","capacity_hint":4},
+	{"uid":"s-00000002","endpoint":"127.0.0.1:1","az":"east","model":"origin","state":"Ready","capacity_hint":1}]}}]},
+	"settings":{"Classes":[{"Name":"page","Deadline":30000000,"Promise":30000000,"Gain":1,"Idempotency":"read_like","Group":"all"}],
+	"Extra":{"MasterKind":1,"ShieldKind":-1,"NotesGiven":"all"},"Kinds":["box","origin"],
+	"Permissions":{"MaxAttempts":3,"DialTimeout":5000000,"MaxStreams":32},"Zone":"east","Zones":["east"]}}`
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// The whole program: ready after the known events, a request through a cache, and after SIGTERM the answer that was
+// still owed, before a clean end.
+func TestRun(t *testing.T) {
+	board, cache, free := listen(t), listen(t), listen(t)
+	c, err := config.Parse(fmt.Appendf(nil, document, board.Addr(), cache.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Listen = free.Addr().String()
+	free.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- run(c) }()
+	told, err := board.Accept() // the board is asked once the router serves
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer told.Close()
+	client, err := net.Dial("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	expect := func(from io.Reader, want string) {
+		t.Helper()
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(from, got); err != nil || string(got) != want {
+			t.Fatalf("got %q (%v), want %q", got, err, want)
+		}
+	}
+	expect(told, "\x00\x00\x00\x00\x00\x00\x00\x01")
+	io.WriteString(client, "\x94\x00\x01\xa6health\x91\x80")
+	expect(client, "\x94\x01\x01\xc0\x92\xc3\x80")
+	io.WriteString(client, "\x94\x00\x02\xa4page\x92\x83\xa3ref\xa2r1\xa5allow\xa530000\xa6lookup\xa27f\xc4\x00")
+	server, err := cache.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	in := bufio.NewReader(server)
+	expect(in, "*4\r\n$3\r\nGET\r\n$2\r\nr1\r\n")
+	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(server, "*4\r\n$2\r\nr1\r\n$2\r\nOK\r\n$9\r\nn=TCP_HIT\r\n$3\r\nabc\r\n")
+	expect(client, "\x94\x01\x02\xc0\x92\xc4\x03abc\x80")
+	if rest, err := io.ReadAll(client); err != nil || !bytes.Equal(rest, nil) {
+		t.Errorf("after the last answer: %q, %v", rest, err)
+	}
+	client.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,15 +38,14 @@
 }
 
 type document struct {
-	Name   string
-	Seed   string
+	Seed   string `json:"seed"`
 	Limits struct {
 		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int
-	}
-	Board    string
-	Known    json.RawMessage
-	Settings json.RawMessage
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Board    string          `json:"board"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
 }
 
 // transport holds the settings that the decision module has no use for.
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const settings = `{"Classes":[{"Name":"page","Deadline":3000000,"Promise":300000,"Idempotency":"read_like"}],` +
+	`"Extra":{"MasterKind":0,"ShieldKind":-1,"HeedWithin":300000},"Guarantees":{"StopSendingWithin":500000},"Kinds":["origin"],` +
+	`"Permissions":{"MaxAttempts":3,"DialTimeout":400000,"IdleClose":30000000,"MaxStreams":32},"Zone":"east","Zones":["east"]}`
+
+const good = `{"name":"n3","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},` +
+	`"board":"127.2.0.1:4222","known":{"rev":3,"notices":[{"rev":3,"pool":{"all":true,"targets":[]}}]},"settings":` + settings + `}`
+
+func TestLoad(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"RELAY_NAME": "n3", "RELAY_LISTEN": "127.0.0.1:5050", "RELAY_CONFIG": file}
+	c, err := Load(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.1:5050" || c.Board != "127.2.0.1:4222" || uint64(c.Seed) != 0x8c1f30d27a5be964 ||
+		c.MemoryMB != 192 || c.Sockets != 1024 || c.DialTimeout != 400 || c.IdleClose != 30_000 || c.MaxStreams != 32 ||
+		c.MostWait != 300 || c.Longest != 3000 || c.Last != 3 || len(c.Notices) != 1 || c.Settings.Zone != "east" {
+		t.Errorf("%+v", c)
+	}
+	for name, value := range map[string]string{"RELAY_NAME": "", "RELAY_LISTEN": "everywhere", "RELAY_CONFIG": file + "x"} {
+		old := env[name]
+		env[name] = value
+		if _, err := Load(func(name string) string { return env[name] }); err == nil || !strings.HasPrefix(err.Error(), name) {
+			t.Errorf("%s=%q: %v", name, value, err)
+		}
+		env[name] = old
+	}
+}
+
+// What can't be used is named in one line.
+func TestFieldAtFault(t *testing.T) {
+	for field, swap := range map[string][2]string{
+		"seed:":                               {"8c1f30d27a5be964", "dice"},
+		"board:":                              {"127.2.0.1:4222", "nowhere"},
+		"limits.memory_mb:":                   {`"memory_mb":192`, `"memory_mb":1`},
+		"limits.sockets:":                     {`"sockets":1024`, `"sockets":8`},
+		"RELAY_CONFIG.limits.sockets:":        {`"sockets":1024`, `"sockets":"many"`},
+		"RELAY_CONFIG:":                       {`{"name"`, `{name`},
+		"settings: missing":                   {`"settings":`, `"options":`},
+		"known: missing":                      {`"known":`, `"told":`},
+		"known.notices[0]:":                   {`"pool":`, `"pond":`},
+		"settings.Permissions.DialTimeout:":   {`"DialTimeout":400000`, `"DialTimeout":0`},
+		"settings.Permissions.MaxStreams:":    {`"MaxStreams":32`, `"MaxStreams":-1`},
+		"settings.Permissions.IdleClose: a":   {`"IdleClose":30000000`, `"IdleClose":"long"`},
+		"settings.Zones:":                     {`"Zones":["east"]`, `"Zones":[]`},
+		"settings.Permissions.IdleClose: mus": {`"IdleClose":30000000`, `"IdleClose":-1`},
+	} {
+		if !strings.Contains(good, swap[0]) {
+			t.Fatalf("%s: no %s in the configuration", field, swap[0])
+		}
+		_, err := Parse([]byte(strings.Replace(good, swap[0], swap[1], 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -140,8 +140,9 @@
 	net    net.Conn
 	queue  chan answer
 
-	mu   sync.Mutex
-	open map[uint64]context.CancelFunc // by message id
+	mu     sync.Mutex
+	open   map[uint64]context.CancelFunc // by message id
+	inside bool                          // the reader is within a message
 }
 
 type answer struct {
@@ -185,11 +186,22 @@
 	}
 }
 
-// poke makes a waiting reader look again whether the connection may close.
+// poke makes a waiting reader look again whether the connection may close. A message that has begun is not cut short:
+// its request would be lost with all that are open.
 func (c *conn) poke() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.net.SetReadDeadline(time.Unix(1, 0))
+	if !c.inside {
+		c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// enter sets the time by which the message that has begun must end.
+func (c *conn) enter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inside = true
+	c.net.SetReadDeadline(clock.Deadline(frameLimit))
 }
 
 // await sets the time by which the next message must begin. When the connection is not wanted any more, that is
@@ -198,6 +210,7 @@
 	draining := c.server.draining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inside = false
 	last = draining && len(c.open) == 0
 	wait := float64(idleLimit)
 	if last {
@@ -222,7 +235,7 @@
 			}
 			continue
 		}
-		c.net.SetReadDeadline(clock.Deadline(frameLimit))
+		c.enter()
 		v, err := readMessage(in)
 		if err != nil {
 			return err
--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -162,6 +162,23 @@
 	}
 }
 
+// A message that has begun when the end comes is read to its end and answered.
+func TestDrainInsideMessage(t *testing.T) {
+	c := start(t)
+	c.request(1, "page", "r1")
+	a := <-c.asked
+	text := encode(nil, []any{uint64(0), uint64(2), "page", []any{map[string]any{"ref": "r2", "allow": "1500"}, []byte(nil)}})
+	c.request(3, "film", "r3") // its answer tells that the reader is past it
+	c.Write(text[:9])
+	c.expect("[1 3 [Error map[reason:unknown method]] <nil>]")
+	c.stop()
+	a.answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 1 [Error map[]] <nil>]")
+	c.Write(text[9:])
+	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 2 [Error map[]] <nil>]")
+}
+
 // Answers that nobody reads are bounded, by connection and in bytes.
 func TestQueueBounds(t *testing.T) {
 	s := &Server{MostQueued: 100, Clock: &clock.Clock{}}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -178,12 +178,32 @@
 	if best != nil && len(best.calls) == 0 {
 		return best, false
 	}
-	if len(l.conns)+l.opening < connsEach && l.owner.conns < l.owner.opt.MostConns {
+	if len(l.conns)+l.opening < connsEach && l.owner.spare(best == nil) {
 		return nil, true
 	}
 	return best, false
 }
 
+// spare tells whether a connection may be opened. In need it closes the one idle for longest: the connections that
+// other servers once needed must not keep a server without any.
+func (p *Pools) spare(need bool) bool {
+	if p.conns < p.opt.MostConns || !need {
+		return p.conns < p.opt.MostConns
+	}
+	var oldest *conn
+	for _, l := range p.servers {
+		for _, c := range l.conns {
+			if len(c.calls) == 0 && (oldest == nil || c.used < oldest.used) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
 // open dials for one attempt and serves the connection until it ends.
 func (l *pool) open(k *call) {
 	p := l.owner
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -172,6 +172,23 @@
 	wantCode(t, again, rules.Done)
 }
 
+// Connections that lie idle at one server do not keep another from its first.
+func TestIdleGiveWay(t *testing.T) {
+	c, other := listen(t), listen(t)
+	p, _ := newPools(t, c.addr())
+	list(p, "s-2", other.addr())
+	a, b := send(p, "a"), send(p, "b")
+	for range 2 {
+		l := c.accept()
+		_, id, _ := strings.Cut(l.command(), " ")
+		l.say(id, "MISS", "-", "")
+	}
+	wantCode(t, a, rules.Miss)
+	wantCode(t, b, rules.Miss)
+	p.Send(router.Attempt{Request: &router.Request{ID: "c"}, Server: "s-2"})
+	other.accept().expect("GET c")
+}
+
 // Nothing listens: the refusal proves that nothing ran.
 func TestRefused(t *testing.T) {
 	c := listen(t)
