--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -78,7 +78,7 @@
 
 type command struct {
 	text    []byte
-	call    *call         // of a GET
+	call    *call         // of a GET, which is written only while it is due
 	written chan struct{} // closed once written; nil: nobody waits
 }
 
@@ -168,8 +168,10 @@
 func (l *pool) pick(id string) (best *conn, open bool) {
 	for _, c := range l.conns {
 		switch {
-		case c.dropped[id] != 0: // its DROP must get there first, or two attempts would be out at once
-			return c, false
+		case c.dropped[id] != 0 && len(c.calls) < l.owner.opt.MaxStreams:
+			return c, false // its DROP must get there first, or two attempts would be out at once
+		case c.dropped[id] != 0:
+			return nil, false
 		case len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
 		case best == nil || len(c.calls) < len(best.calls) || len(c.calls) == len(best.calls) && c.used > best.used:
 			best = c
@@ -243,18 +245,11 @@
 
 // start gives an attempt to a connection. Pools.mu is held.
 func (c *conn) start(k *call) {
-	p := c.pool.owner
-	if p.opt.MostWait > 0 && p.clock.Now()-k.chosen > p.opt.MostWait {
-		// guards drains and purges told since the choice: what was never sent proves that nothing ran
-		k.end(router.End{Code: rules.Refused})
-		c.rest()
-		return
-	}
 	select {
 	case c.queue <- command{text: appendGet(nil, k.try), call: k}:
 		k.conn = c
 		c.calls[k.try.ID] = k
-		k.sent = p.clock.Now()
+		k.sent = k.pools.clock.Now()
 		c.used = k.sent
 		c.idle.Stop()
 		delete(c.dropped, k.try.ID)
@@ -355,6 +350,20 @@
 	c.rest()
 }
 
+// due tells whether an attempt may still be written. It guards the rules on drains and purges told since the choice of
+// its server: an attempt that waited too long for its connection is not sent, which proves that nothing ran.
+func (c *conn) due(k *call) bool {
+	p := c.pool.owner
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !k.over && p.opt.MostWait > 0 && p.clock.Now()-k.chosen > p.opt.MostWait {
+		delete(c.calls, k.try.ID)
+		k.end(router.End{Code: rules.Refused})
+		c.rest()
+	}
+	return !k.over
+}
+
 // write puts queued commands on the socket, each within a bounded time.
 func (c *conn) write() {
 	for {
@@ -362,6 +371,9 @@
 		case <-c.gone:
 			return
 		case m := <-c.queue:
+			if m.call != nil && !c.due(m.call) {
+				continue
+			}
 			c.net.SetWriteDeadline(clock.Deadline(writeLimit))
 			_, err := c.net.Write(m.text)
 			if m.written != nil {
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -251,20 +251,28 @@
 	}
 }
 
-// An attempt that waited for its connection past the time in which a drain or a purge binds is not sent.
+// An attempt that waited for its connection past the time in which a drain or a purge binds is not sent, nor is one
+// that was given up meanwhile.
 func TestWaitedTooLong(t *testing.T) {
 	p, fake := newPools(t, "127.0.0.1:1")
-	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}}, chosen: fake.Now(), done: make(chan router.End, 1)}
-	fake.Advance(301)
 	near, far := net.Pipe()
 	defer far.Close()
+	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 4), calls: map[string]*call{},
+		dropped: map[string]float64{}, gone: make(chan struct{})}
+	calls := map[string]*call{}
 	p.mu.Lock()
-	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 1), calls: map[string]*call{}, gone: make(chan struct{})}
-	c.start(k)
-	p.mu.Unlock()
-	if wantCode(t, k, rules.Refused); len(c.queue) != 0 {
-		t.Error("it was sent all the same")
+	for _, id := range []string{"late", "over", "good"} {
+		k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: id}}, chosen: fake.Now(), done: make(chan router.End, 1)}
+		c.start(k)
+		calls[id] = k
+		fake.Advance(301)
 	}
+	calls["good"].chosen, calls["over"].chosen, calls["over"].over = fake.Now(), fake.Now(), true
+	p.mu.Unlock()
+	go c.write()
+	defer close(c.gone)
+	(&link{t, far, bufio.NewReader(far)}).expect("GET good")
+	wantCode(t, calls["late"], rules.Refused)
 }
 
 // Fields that would break the list of pairs never get this far, but a body holds any bytes.
