--- /dev/null
+++ b/internal/board/follow_test.go
@@ -0,0 +1,51 @@
+package board
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"spantack/internal/router"
+)
+
+// A lost or malformed stream is opened anew from the last event applied, and no event is applied twice.
+func TestFollow(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	applied := make(chan router.Notice, 8)
+	f := &Follower{Addr: l.Addr().String(), Names: names, Last: 41, Log: zerolog.Nop(),
+		Apply: func(n router.Notice) { applied <- n }}
+	go f.Run(t.Context())
+	purge := []byte("\x00\x11\x00\x00\x00\x00\x00\x00\x03\xe8")
+	for _, c := range []struct{ asks, sends string }{
+		{"\x00\x00\x00\x00\x00\x00\x00\x29", string(appendFrame(nil, 42, kindChanges, []byte(record))) + "\xff\xff\xff\xff"},
+		{"\x00\x00\x00\x00\x00\x00\x00\x2a", string(appendFrame(appendFrame(appendFrame(nil, 42, kindChanges, []byte(record)),
+			42, kindNothing, nil), 43, kindGroup, purge))},
+		{"\x00\x00\x00\x00\x00\x00\x00\x2b", ""},
+	} {
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var asked [8]byte
+		if _, err := io.ReadFull(nc, asked[:]); err != nil || string(asked[:]) != c.asks {
+			t.Fatalf("asked from %q (%v), want %q", asked, err, c.asks)
+		}
+		io.WriteString(nc, c.sends)
+		nc.Close()
+	}
+	if n := <-applied; len(n.Servers) != 1 || n.Servers[0].Status != "cordoned" {
+		t.Errorf("first %+v", n)
+	}
+	if n := <-applied; n.Purge == nil || n.Purge.Group != 17 {
+		t.Errorf("second %+v", n)
+	}
+	if len(applied) != 0 {
+		t.Errorf("%d events more", len(applied))
+	}
+}
