--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -34,8 +34,11 @@
 	queueShare = 0.25
 	// bodyShare of the limit is what answers on their way in may hold: one on each connection at most.
 	bodyShare = 0.35
-	// clientShare of the descriptors is for clients; the platform gives them no more.
+	// clientShare of the descriptors is what usual clients hold at most: they always find so many places.
 	clientShare = 3
+	// extraShare of the limit is what further client connections may take, at clientBytes each.
+	extraShare  = 0.15
+	clientBytes = 32 << 10
 	// spareSockets are for the listener, the board, logs and connections on their way out.
 	spareSockets = 48
 )
@@ -70,6 +73,7 @@
 	memory := c.MemoryMB * (1 << 20)
 	clients := c.Sockets / clientShare
 	mostConns := min(c.Sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody))
+	clients = max(clients, min(c.Sockets-mostConns-spareSockets, int(extraShare*memory/clientBytes)))
 	pools := resp.NewPools(serving, resp.Options{DialTimeout: c.DialTimeout, IdleClose: c.IdleClose,
 		MaxStreams: c.MaxStreams, MostConns: mostConns, MostWait: c.MostWait}, now, log)
 	core, err := router.New(c.Settings, c.Seed, now, pools, log)
@@ -85,7 +89,7 @@
 		keyed[class.Name] = class.Idempotency == "idempotency_key"
 	}
 	var ready atomic.Bool
-	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: int64(clients),
+	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: clients,
 		MostQueued: int64(queueShare * memory), Patience: c.Longest, Clock: now, Log: log}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"runtime/debug"
@@ -13,7 +14,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"spantack/internal/clock"
 	"spantack/internal/router"
@@ -23,13 +23,15 @@
 const (
 	maxOpen     = 64          // requests open on one connection: twice what a client may
 	queueRoom   = 2 * maxOpen // answers waiting to be written on one connection
-	idleLimit   = 60_000      // clients close idle connections after 4 s; this is for those that vanished
-	frameLimit  = 10_000      // for the rest of a message once it has begun
+	firstLimit  = 2_000       // for the first message: usual clients connect to ask, others hold a place in silence
+	idleLimit   = 6_000       // clients close idle connections after 4 s; this is for those that hold them for good
+	frameLimit  = 2_000       // for the rest of a message once it has begun
 	writeLimit  = 10_000      // for one answer: a client that takes none of it is gone
 	lastLook    = 50          // for a message already on its way when the connection is to be closed
 	lingerLimit = 250         // for what crosses our close
 	requestCost = 8 << 10     // bytes that an open request takes besides its body
 	acceptPause = 20          // after an accept that failed
+	freshConn   = 100         // a new connection is given so long for its first message to be on its way
 	readBuffer  = 4 << 10
 	logEvery    = 1000
 )
@@ -39,18 +41,20 @@
 	Handle     func(context.Context, router.Request) router.Answer
 	Ready      func() bool
 	Keyed      map[string]bool // the classes, and whether their requests carry an idempotency key
-	MostConns  int64
+	MostConns  int
 	MostQueued int64   // bytes of open requests and of answers waiting to be written, on all connections
 	Patience   float64 // how long open requests may hold up the end of Serve
 	Clock      *clock.Clock
 	Log        zerolog.Logger
 
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	queued int64
-	drains bool
-	faults int
-	logged float64
+	mu         sync.Mutex // where both are held, it is taken before that of a conn
+	conns      map[*conn]bool
+	queued     int64
+	drains     bool
+	faults     int
+	logged     float64
+	gaveWay    int64
+	turnedAway int64
 }
 
 // Serve accepts connections until ctx ends, then closes each as soon as no request is open on it, and returns when
@@ -58,15 +62,10 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.conns = map[*conn]bool{}
 	defer context.AfterFunc(ctx, func() { l.Close() })()
-	places := semaphore.NewWeighted(s.MostConns)
 	var wait sync.WaitGroup
 	for {
-		if places.Acquire(ctx, 1) != nil {
-			break
-		}
 		nc, err := l.Accept()
 		if err != nil {
-			places.Release(1)
 			if ctx.Err() != nil {
 				break
 			}
@@ -74,12 +73,13 @@
 			time.Sleep(clock.Duration(acceptPause)) // out of descriptors, say: try again without spinning
 			continue
 		}
-		c := &conn{server: s, net: nc, open: map[uint64]context.CancelFunc{}, queue: make(chan answer, queueRoom)}
-		s.mu.Lock()
-		s.conns[c] = true
-		s.mu.Unlock()
+		c := &conn{server: s, net: nc, open: map[uint64]context.CancelFunc{}, queue: make(chan answer, queueRoom),
+			quietAt: s.Clock.Now()}
+		if !s.place(c) {
+			nc.Close()
+			continue
+		}
 		wait.Go(func() {
-			defer places.Release(1)
 			c.serve()
 			s.mu.Lock()
 			delete(s.conns, c)
@@ -106,6 +106,38 @@
 	return nil
 }
 
+// place books a new connection. Where all places are taken, the one that is quiet for longest gives way: a client that
+// asked once and holds its connection for good must not keep others out. Without a quiet one the new one finds none.
+func (s *Server) place(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) >= s.MostConns {
+		var oldest *conn
+		least := math.Inf(1)
+		for o := range s.conns {
+			if at := o.rank(); at < least {
+				oldest, least = o, at
+			}
+		}
+		if oldest == nil {
+			s.turnedAway++
+			return false
+		}
+		delete(s.conns, oldest)
+		s.gaveWay++
+		oldest.net.Close()
+	}
+	s.conns[c] = true
+	return true
+}
+
+// Places tells how many connections gave way to others, and how many found no place.
+func (s *Server) Places() (gaveWay, turnedAway int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gaveWay, s.turnedAway
+}
+
 func (s *Server) draining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,9 +172,26 @@
 	net    net.Conn
 	queue  chan answer
 
-	mu     sync.Mutex
-	open   map[uint64]context.CancelFunc // by message id
-	inside bool                          // the reader is within a message
+	mu      sync.Mutex
+	open    map[uint64]context.CancelFunc // by message id
+	unsent  int                           // answers queued and not yet written
+	inside  bool                          // the reader is within a message
+	spoken  bool                          // a whole message has come
+	quietAt float64                       // when it last became quiet: connected, or the last answer written
+}
+
+// rank orders connections by how gladly they are let go, the least first: those that never said anything, then
+// those that are quiet for longest. One that is owed an answer is not let go.
+func (c *conn) rank() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case len(c.open) > 0 || c.unsent > 0:
+		return math.Inf(1)
+	case !c.spoken && c.server.Clock.Now()-c.quietAt > freshConn:
+		return c.quietAt - firstLimit
+	}
+	return c.quietAt
 }
 
 type answer struct {
@@ -213,8 +262,11 @@
 	c.inside = false
 	last = draining && len(c.open) == 0
 	wait := float64(idleLimit)
-	if last {
+	switch {
+	case last:
 		wait = lastLook
+	case !c.spoken:
+		wait = firstLimit
 	}
 	c.net.SetReadDeadline(clock.Deadline(wait))
 	return last
@@ -224,13 +276,12 @@
 func (c *conn) read(ctx context.Context, requests *sync.WaitGroup) error {
 	in := bufio.NewReaderSize(c.net, readBuffer)
 	for {
-		since := c.server.Clock.Now()
 		last := c.await()
 		if _, err := in.Peek(1); err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
 			}
-			if last || c.idle() && c.server.Clock.Now()-since >= idleLimit {
+			if last || c.idle() {
 				return nil
 			}
 			continue
@@ -245,16 +296,24 @@
 		if err != nil {
 			return err
 		}
+		c.mu.Lock()
+		c.spoken, c.quietAt = true, arrived
+		c.mu.Unlock()
 		if err := c.take(ctx, m, arrived, requests); err != nil {
 			return err
 		}
 	}
 }
 
+// idle tells whether nothing came or went for so long that the client has no more use for the connection.
 func (c *conn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0
+	limit := float64(idleLimit)
+	if !c.spoken {
+		limit = firstLimit
+	}
+	return len(c.open) == 0 && c.unsent == 0 && c.server.Clock.Now()-c.quietAt >= limit
 }
 
 // take acts on one message; an error ends the connection.
@@ -283,24 +342,30 @@
 		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Error", "reason", err.Error())}})
 	}
 	q.Arrived = arrived
+	cost := int64(requestCost + len(q.Body))
+	reserved := s.reserve(cost) // guards memory against a flood of requests
 	c.mu.Lock()
 	_, twice := c.open[m.id]
-	cost := int64(requestCost + len(q.Body))
-	full := twice || len(c.open) >= maxOpen || !s.reserve(cost) // guards memory against a flood of requests
+	room := reserved && !twice && len(c.open) < maxOpen
 	var one context.Context
-	if !full {
+	if room {
 		one, c.open[m.id] = context.WithCancel(ctx)
 	}
 	c.mu.Unlock()
-	if twice {
-		return fmt.Errorf("%w: message id %d is open already", errMalformed, m.id)
+	if reserved && !room {
+		s.reserve(-cost)
 	}
-	if full {
+	switch {
+	case twice:
+		return fmt.Errorf("%w: message id %d is open already", errMalformed, m.id)
+	case !room:
 		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Full", "cooldown", "100")}})
 	}
 	requests.Go(func() {
 		defer s.reserve(-cost)
 		a := s.handle(one, q)
+		c.sent(1) // or the connection might give way between here and the answer's place in the queue
+		defer c.sent(-1)
 		if c.finish(m.id) && a.Verdict != router.None {
 			if err := c.answer(m.id, a); err != nil {
 				s.fault(err)
@@ -371,15 +436,25 @@
 
 // send queues an answer without waiting for the client.
 func (c *conn) send(a answer) error {
+	c.sent(1)
 	select {
 	case c.queue <- a:
 		return nil
 	default:
+		c.sent(-1)
 		c.server.reserve(-a.size)
 		return fmt.Errorf("%d answers wait for a client that does not read", queueRoom)
 	}
 }
 
+// sent books answers that are to be written, or with -1 one that is.
+func (c *conn) sent(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent += n
+	c.quietAt = c.server.Clock.Now()
+}
+
 // write puts queued answers on the socket until the queue is closed. After a failure it only empties the queue.
 func (c *conn) write() {
 	broken := false
@@ -392,5 +467,6 @@
 			}
 		}
 		c.server.reserve(-a.size)
+		c.sent(-1)
 	}
 }
--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -197,3 +197,61 @@
 		t.Errorf("%q", text)
 	}
 }
+
+// A client that asked once and holds its connection for good, or never says anything, gives way to a new one; a
+// connection that is owed an answer does not. On a churn day such clients held all places, and 9,000 requests of others
+// were never taken up.
+func TestQuietGivesWay(t *testing.T) {
+	c := start(t) // with two places
+	c.request(1, "page", "r1")
+	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 1 [Error map[]] <nil>]")
+	dial := func() *client {
+		nc, err := net.Dial("tcp", c.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		return &client{t: t, Conn: nc, in: bufio.NewReader(nc), asked: c.asked}
+	}
+	busy := dial()
+	busy.request(1, "page", "r2")
+	owed := <-c.asked
+	next := dial()
+	next.request(1, "page", "r3")
+	other := <-c.asked
+	if _, err := c.in.ReadByte(); err == nil {
+		t.Error("the quiet connection is still open")
+	}
+	if _, err := dial().in.ReadByte(); err == nil {
+		t.Error("a connection found a place where all were owed answers")
+	}
+	for _, a := range []*asked{owed, other} {
+		a.answer <- router.Answer{Verdict: router.Failed}
+	}
+	busy.expect("[1 1 [Error map[]] <nil>]")
+	next.expect("[1 1 [Error map[]] <nil>]")
+}
+
+// Usual clients close after 4 s without a request and ask as soon as they connect: who says nothing for longer holds a
+// place for nothing. An answer that is still being written is not nothing.
+func TestIdle(t *testing.T) {
+	fake := clock.NewFake(1000)
+	s := &Server{Clock: fake}
+	for _, x := range []struct {
+		c     *conn
+		after float64
+		want  bool
+	}{
+		{&conn{}, firstLimit - 1, false},
+		{&conn{}, firstLimit, true},
+		{&conn{spoken: true}, idleLimit - 1, false},
+		{&conn{spoken: true}, idleLimit, true},
+		{&conn{spoken: true, unsent: 1}, idleLimit, false},
+	} {
+		x.c.server, x.c.quietAt = s, fake.Now()-x.after
+		if got := x.c.idle(); got != x.want {
+			t.Errorf("spoken %v, %d unsent, after %v ms: idle %v", x.c.spoken, x.c.unsent, x.after, got)
+		}
+	}
+}
