--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -28,6 +29,13 @@
 const (
 	// stayOpen is how long after SIGTERM connections and requests are still taken, in milliseconds.
 	stayOpen = 800
+	// SIGKILL may come killSlack after the longest deadline, of which longestKept counts at most. What is open
+	// stopEarly before that gets its answer then, so that the process has ended by itself.
+	longestKept = 3000
+	killSlack   = 700
+	stopEarly   = 500
+	// takeAnswer is how long clients have to take those last answers.
+	takeAnswer = 150
 	// memoryShare of the limit is what Go's heap keeps under; the rest is for stacks, buffers and the kernel.
 	memoryShare = 0.7
 	// queueShare of the limit is what open requests and answers waiting for clients may hold.
@@ -46,7 +54,7 @@
 func main() {
 	c, err := config.Load(os.Getenv)
 	if err == nil {
-		err = run(c)
+		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) })
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "spantack:", err)
@@ -54,8 +62,11 @@
 	}
 }
 
+// reload brings the configuration for a SIGHUP.
+type reload func() (*config.Config, error)
+
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
-func run(c *config.Config) error {
+func run(c *config.Config, again reload) error {
 	runtime.GOMAXPROCS(1) // routers share one core: more threads would only take turns on it
 	debug.SetMemoryLimit(int64(memoryShare * c.MemoryMB * (1 << 20)))
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
@@ -63,6 +74,10 @@
 
 	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangUp := make(chan os.Signal, 1) // at once: by itself the signal would end the process
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+
 	// serving ends when the last request has its answer; accepting ends a while after the signal.
 	serving, served := context.WithCancel(context.Background())
 	defer served()
@@ -88,9 +103,10 @@
 	for _, class := range c.Settings.Classes {
 		keyed[class.Name] = class.Idempotency == "idempotency_key"
 	}
+	lastAnswer := max(min(c.Longest, longestKept)+killSlack-stopEarly, stayOpen)
 	var ready atomic.Bool
 	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: clients,
-		MostQueued: int64(queueShare * memory), Patience: c.Longest, Clock: now, Log: log}
+		MostQueued: int64(queueShare * memory), Patience: lastAnswer + takeAnswer - stayOpen, Clock: now, Log: log}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("RELAY_LISTEN: %w", err)
@@ -101,10 +117,21 @@
 	ready.Store(true)
 	log.Info().Str("listen", c.Listen).Uint64("known", c.Last).Msg("serving")
 
-	follower := &board.Follower{Addr: c.Board, Names: c.Names, Last: c.Last, Apply: apply, Log: log}
+	follower := &board.Follower{Names: c.Names, Last: c.Last, Apply: apply, Clock: now, Log: log}
+	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return follower.Run(serving) })
 	group.Go(func() error { return report(serving, core, log) })
+	group.Go(func() error {
+		for {
+			select {
+			case <-serving.Done():
+				return nil
+			case <-hangUp:
+				c = reconfigure(c, again, follower.Move, log)
+			}
+		}
+	})
 	group.Go(func() error {
 		select {
 		case <-signals.Done():
@@ -113,6 +140,7 @@
 		}
 		log.Info().Msg("stopping")
 		now.AfterFunc(stayOpen, stopAccepting)
+		now.AfterFunc(lastAnswer, core.Finish)
 		return nil
 	})
 	group.Go(func() error {
@@ -127,6 +155,28 @@
 	return err
 }
 
+// reconfigure takes the file in anew after SIGHUP and returns the configuration in force. Nothing of a file applies
+// unless all of it can be used. Only the board's address changes in a running router: its beliefs and its limits rest
+// on the rest, which takes a restart.
+func reconfigure(old *config.Config, again reload, move func(string), log zerolog.Logger) *config.Config {
+	c, err := again()
+	if err != nil {
+		log.Error().Err(err).Msg("new configuration can't be used")
+		return old
+	}
+	if !reflect.DeepEqual(c.Settings, old.Settings) || c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets ||
+		c.DialTimeout != old.DialTimeout || c.IdleClose != old.IdleClose || c.MaxStreams != old.MaxStreams || c.Seed != old.Seed {
+		log.Warn().Msg("new configuration differs in more than the board: that takes a restart")
+	}
+	log.Info().Str("from", old.Board).Str("board", c.Board).Msg("new configuration")
+	if c.Board != old.Board {
+		move(c.Board)
+	}
+	taken := *old
+	taken.Board = c.Board
+	return &taken
+}
+
 // report prints the counters on SIGUSR1.
 func report(ctx context.Context, core *router.Router, log zerolog.Logger) error {
 	asked := make(chan os.Signal, 1)
--- a/cmd/spantack/main_test.go
+++ b/cmd/spantack/main_test.go
@@ -32,7 +32,7 @@
 // The whole program: ready after the known events, a request through a cache, and after SIGTERM the answer that was
 // still owed, before a clean end.
 func TestRun(t *testing.T) {
-	board, cache, free := listen(t), listen(t), listen(t)
+	board, moved, cache, free := listen(t), listen(t), listen(t), listen(t)
 	c, err := config.Parse(fmt.Appendf(nil, document, board.Addr(), cache.Addr()))
 	if err != nil {
 		t.Fatal(err)
@@ -40,7 +40,8 @@
 	c.Listen = free.Addr().String()
 	free.Close()
 	ended := make(chan error, 1)
-	go func() { ended <- run(c) }()
+	files := make(chan string)
+	go func() { ended <- run(c, func() (*config.Config, error) { return config.Parse([]byte(<-files)) }) }()
 	told, err := board.Accept() // the board is asked once the router serves
 	if err != nil {
 		t.Fatal(err)
@@ -69,6 +70,19 @@
 	defer server.Close()
 	in := bufio.NewReader(server)
 	expect(in, "*4\r\n$3\r\nGET\r\n$2\r\nr1\r\n")
+	// SIGHUP, with a request open: a file that can't be used changes nothing, a good one moves the board
+	for _, address := range []string{"nowhere", moved.Addr().String()} {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		files <- fmt.Sprintf(document, address, cache.Addr())
+	}
+	there, err := moved.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	expect(there, "\x00\x00\x00\x00\x00\x00\x00\x01")
 	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
 
 	"github.com/rs/zerolog"
 
@@ -13,20 +15,41 @@
 	"spantack/internal/router"
 )
 
+// A purge or drain binds 2 s after a break and 4 s after the board fell silent, whether it was heard or not: the new
+// connection must be up before that.
 const (
-	silence   = 3000 // ms without a frame after which the connection is given up: one comes each second
-	dialLimit = 2000
-	waitFirst = 100 // ms before the first new try, doubled for each further one
-	waitMost  = 1000
+	silence   = 2500 // ms without a frame after which the connection is given up: one comes each second
+	dialLimit = 500
+	waitFirst = 50 // ms before the first new try, doubled for each further one
+	waitMost  = 250
+	logEvery  = 1000
 )
 
+var errMoved = errors.New("the board has moved")
+
 // Follower keeps a connection to the board and applies its events in order.
 type Follower struct {
-	Addr  string
 	Names Names
 	Last  uint64 // number of the last event applied
 	Apply func(router.Notice)
+	Clock *clock.Clock
 	Log   zerolog.Logger
+
+	mu     sync.Mutex
+	addr   string
+	cancel context.CancelCauseFunc // ends the connection to addr; nil: there is none
+
+	lost   int // connections lost and tries that failed
+	logged float64
+}
+
+// Move sends the follower to the board's address. What the old connection had not told whole is asked anew there.
+func (f *Follower) Move(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.addr = addr; f.cancel != nil {
+		f.cancel(errMoved)
+	}
 }
 
 // Run follows the board until ctx ends. A lost connection is opened anew from the last event applied.
@@ -34,26 +57,45 @@
 	wait := float64(waitFirst)
 	for ctx.Err() == nil {
 		before := f.Last
-		heard, err := f.follow(ctx)
-		if ctx.Err() != nil {
-			break
+		here, cancel := context.WithCancelCause(ctx)
+		f.mu.Lock()
+		addr := f.addr
+		f.cancel = cancel
+		f.mu.Unlock()
+		heard, err := f.follow(here, addr)
+		moved := context.Cause(here) == errMoved
+		if !moved && ctx.Err() == nil {
+			if heard {
+				wait = waitFirst
+			}
+			f.fault(err, addr, f.Last-before)
+			rest, done := context.WithTimeout(here, clock.Duration(wait)) // a move ends the wait too
+			<-rest.Done()
+			done()
+			wait = min(2*wait, waitMost)
 		}
-		if heard {
+		if context.Cause(here) == errMoved {
 			wait = waitFirst
 		}
-		f.Log.Warn().Err(err).Uint64("last", f.Last).Uint64("applied", f.Last-before).Msg("board connection lost")
-		rest, cancel := context.WithTimeout(ctx, clock.Duration(wait))
-		<-rest.Done()
-		cancel()
-		wait = min(2*wait, waitMost)
+		cancel(nil)
 	}
 	return nil
 }
 
+// fault logs a lost connection, and further ones at most once a second: a board that is away is tried often.
+func (f *Follower) fault(err error, addr string, applied uint64) {
+	f.lost++
+	if now := f.Clock.Now(); applied > 0 || now-f.logged >= logEvery {
+		f.logged = now
+		f.Log.Warn().Err(err).Str("board", addr).Uint64("last", f.Last).Uint64("applied", applied).Int("lost", f.lost).
+			Msg("board connection lost")
+	}
+}
+
 // follow uses one connection; heard tells whether a frame came.
-func (f *Follower) follow(ctx context.Context) (heard bool, err error) {
+func (f *Follower) follow(ctx context.Context, addr string) (heard bool, err error) {
 	dialer := net.Dialer{Timeout: clock.Duration(dialLimit)}
-	nc, err := dialer.DialContext(ctx, "tcp", f.Addr)
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, fmt.Errorf("dial: %w", err)
 	}
@@ -65,13 +107,13 @@
 	}
 	in := bufio.NewReader(nc)
 	for {
-		nc.SetReadDeadline(clock.Deadline(silence))
+		nc.SetReadDeadline(clock.Deadline(silence)) // guards against a board that is open but mute, or stops mid-event
 		frame, err := readFrame(in, f.Names)
 		if err != nil {
 			return heard, fmt.Errorf("read: %w", err)
 		}
 		if !heard {
-			f.Log.Info().Uint64("last", f.Last).Msg("following the board")
+			f.Log.Info().Str("board", addr).Uint64("last", f.Last).Msg("following the board")
 		}
 		heard = true
 		if frame.kind == kindNothing || frame.number <= f.Last { // guards against an event told twice
--- a/internal/board/follow_test.go
+++ b/internal/board/follow_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"spantack/internal/clock"
 	"spantack/internal/router"
 )
 
@@ -18,8 +19,9 @@
 	}
 	defer l.Close()
 	applied := make(chan router.Notice, 8)
-	f := &Follower{Addr: l.Addr().String(), Names: names, Last: 41, Log: zerolog.Nop(),
+	f := &Follower{Names: names, Last: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
 		Apply: func(n router.Notice) { applied <- n }}
+	f.Move(l.Addr().String())
 	go f.Run(t.Context())
 	purge := []byte("\x00\x11\x00\x00\x00\x00\x00\x00\x03\xe8")
 	for _, c := range []struct{ asks, sends string }{
@@ -49,3 +51,38 @@
 		t.Errorf("%d events more", len(applied))
 	}
 }
+
+// A board that moves is followed at once, from the last event that came whole; the half event that the old connection
+// had brought is asked for again.
+func TestMove(t *testing.T) {
+	applied := make(chan router.Notice, 8)
+	f := &Follower{Names: names, Last: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
+		Apply: func(n router.Notice) { applied <- n }}
+	event := appendFrame(nil, 42, kindChanges, []byte(record))
+	next := appendFrame(nil, 43, kindChanges, []byte(record))
+	for i, c := range []struct{ asks, sends string }{
+		{"\x00\x00\x00\x00\x00\x00\x00\x29", string(event) + string(next[:20])},
+		{"\x00\x00\x00\x00\x00\x00\x00\x2a", string(next)},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		f.Move(l.Addr().String())
+		if i == 0 {
+			go f.Run(t.Context())
+		}
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close() // the old connection stays open meanwhile
+		var asked [8]byte
+		if _, err := io.ReadFull(nc, asked[:]); err != nil || string(asked[:]) != c.asks {
+			t.Fatalf("asked from %q (%v), want %q", asked, err, c.asks)
+		}
+		io.WriteString(nc, c.sends)
+		<-applied
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,8 @@
 	rules *rules.Router
 	last  int64 // the module's clock must not run backwards
 	mail  map[string]chan rules.Action
+
+	finish chan struct{} // closed when the time for answers is over
 }
 
 // New returns a router that decides by the settings and sends by way of upstream.
@@ -130,9 +132,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Router{clock: c, log: log, upstream: upstream, rules: module, mail: map[string]chan rules.Action{}}, nil
+	return &Router{clock: c, log: log, upstream: upstream, rules: module, mail: map[string]chan rules.Action{},
+		finish: make(chan struct{})}, nil
 }
 
+// Finish answers all that is still open, and what comes later: the process is about to end, and what it leaves
+// unanswered is lost. It is called once.
+func (r *Router) Finish() { close(r.finish) }
+
 // Apply takes a notice to the module before it returns; the first whole list is the one restored at the start.
 func (r *Router) Apply(n Notice) {
 	ev := rules.Event{Kind: rules.Members, Mode: "update"}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -181,3 +181,18 @@
 		t.Errorf("answer %+v", a)
 	}
 }
+
+// Shortly before SIGKILL what is open is answered and given up at its server: left open, it would be lost.
+func TestFinish(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	g.Finish()
+	<-c.dropped
+	if a := <-g.answer; a.Verdict != Failed {
+		t.Errorf("answer %+v", a)
+	}
+	if len(g.mail) != 0 {
+		t.Errorf("%d mailboxes left", len(g.mail))
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -59,6 +59,13 @@
 		r.step(rules.Event{Kind: rules.Outcome, Call: q.ID, Attempt: number, Node: server, Code: e.Code, Note: e.Note,
 			Rtt: clock.Micros(r.clock.Now() - sentAt), UpstreamWait: clock.Micros(e.Waited), Final: e.Code == rules.Done})
 	}
+	abandon := func() { // ends the request on the module's side
+		if call != nil {
+			timer.Stop()
+			call.Drop(false)
+		}
+		r.step(rules.Event{Kind: rules.Gone, Call: q.ID})
+	}
 	for {
 		select {
 		case a := <-mail:
@@ -99,19 +106,15 @@
 			call.Drop(true)
 			over(End{Code: rules.TimedOut})
 		case <-ctx.Done():
-			if call != nil {
-				timer.Stop()
-				call.Drop(false)
-			}
-			r.step(rules.Event{Kind: rules.Gone, Call: q.ID})
+			abandon()
 			r.Counters.Gone.Add(1)
 			return Answer{}
+		case <-r.finish:
+			abandon()
+			r.Counters.Failed.Add(1)
+			return Answer{Verdict: Failed}
 		case <-late: // guards the one answer that is owed against a module that gave none
-			if call != nil {
-				timer.Stop()
-				call.Drop(false)
-			}
-			r.step(rules.Event{Kind: rules.Gone, Call: q.ID})
+			abandon()
 			r.Counters.Overdue.Add(1)
 			r.Counters.Failed.Add(1)
 			r.log.Error().Str("request", q.ID).Msg("module gave no answer in time")
