--- a/rules/rules.go
+++ b/rules/rules.go
@@ -561,7 +561,7 @@
 			n.limit += limitGrowth * r.sending(q) / slices.Max(r.sendMean) / (n.limit * n.seats)
 		}
 	}
-	late, full := ev.Code == TimedOut, r.sourceFull(a, ev)
+	late, full := ev.Code == TimedOut && (a.silent || float64(ev.Rtt) > aim), r.sourceFull(a, ev)
 	if a.node.role == roleCache || a.node.role == roleParent { // straight answers jam links
 		turned := ev.Code == Busy && ev.Note < 6 && !full
 		move(a.node, 1, turned || late || float64(ev.Rtt-ev.UpstreamWait) > aim)
@@ -777,7 +777,7 @@
 		a.node.missPart = min(max(1-ev.Metrics[i], 0), 1)
 	}
 	r.adapt(q, &a, ev)
-	bad := r.blame(&a, ev)
+	bad := r.blame(q, &a, ev)
 	r.judge(q, &a, ev, bad)
 	if ev.Final {
 		r.drop(q.Call)
@@ -813,10 +813,13 @@
 	r.dispatch(q)
 }
 
-// blame names whom an outcome is charged to. A time-out charges a cache, else a source, only if nothing came.
-func (r *Router) blame(a *attempt, ev *Event) *node {
+// blame names whom an outcome is charged to. A time-out charges a cache, else a source, only if nothing came,
+// and nobody if the client's time ended before the answer was due: clients in a hurry shut no good server.
+func (r *Router) blame(q *request, a *attempt, ev *Event) *node {
 	alive := a.node.answered > a.nodeHad
 	switch {
+	case ev.Code == TimedOut && !a.silent && float64(ev.Rtt) < r.aim(q):
+		return nil
 	case ev.Note == 10:
 		return r.origin
 	case a.fills && (ev.Note == 6 || ev.Note == 7):
