--- a/rules/rules.go
+++ b/rules/rules.go
@@ -561,10 +561,17 @@
 			n.limit += limitGrowth * r.sending(q) / slices.Max(r.sendMean) / (n.limit * n.seats)
 		}
 	}
-	late, full := ev.Code == TimedOut && (a.silent || float64(ev.Rtt) > aim), r.sourceFull(a, ev)
+	full := r.sourceFull(a, ev)
+	// A lone answer that never comes is no jam: a server that answers others meanwhile keeps its limit.
+	late := func(n *node, had, took float64) bool {
+		if ev.Code == TimedOut {
+			return n.answered-had < 1 && (a.silent || took > aim)
+		}
+		return took > aim
+	}
 	if a.node.role == roleCache || a.node.role == roleParent { // straight answers jam links
 		turned := ev.Code == Busy && ev.Note < 6 && !full
-		move(a.node, 1, turned || late || float64(ev.Rtt-ev.UpstreamWait) > aim)
+		move(a.node, 1, turned || late(a.node, a.nodeHad, float64(ev.Rtt-ev.UpstreamWait)))
 	}
 	b := &r.behind
 	switch slow := float64(ev.UpstreamWait) > limitTargetMean*r.aim(q); {
@@ -574,8 +581,9 @@
 	case r.now-b.cutAt > int64(r.sendMean[q.class]): // of what is out now, or hundreds of it would go on
 		b.limit, b.cutAt = max(min(b.limit, float64(b.out+1))*limitCut, behindLeast), r.now
 	}
-	if a.fills && (late || full || r.set.Extra.NotesGiven == "silent" || ev.Note == 2 || ev.Note == 3) {
-		move(a.source, unknownMisses, late || full || float64(ev.Rtt) > aim)
+	told := ev.Code == TimedOut || r.set.Extra.NotesGiven == "silent" || ev.Note == 2 || ev.Note == 3
+	if a.fills && (full || told) {
+		move(a.source, unknownMisses, full || late(a.source, a.sourceHad, float64(ev.Rtt)))
 	}
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -245,6 +245,26 @@
 	}
 }
 
+// Single answers that never came cut the limits of caches and parents that answered hundreds meanwhile, down to a
+// sixth in ten seconds, and misses were refused (day with lost answers, 350 requests a second).
+func TestLoneLostAnswerIsNoJam(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		g := newRig(t, settings(), 1, 1)
+		c, p := g.r.nodes["c0"], g.r.nodes["p0"]
+		c.limit, c.cutAt, p.limit, p.cutAt = 3, 1, 3, 1
+		lost := g.ask("small", "lost")
+		if others {
+			g.do(result(g.ask("small", "other"), 0, Done, 2))
+		}
+		before := []float64{c.limit, p.limit}
+		g.now += 3 * sec
+		g.do(result(lost, 0, TimedOut, 0))
+		if cut := []bool{c.limit < before[0], p.limit < before[1]}; cut[0] == others || cut[1] == others {
+			t.Errorf("others answered %v: limits cut %v", others, cut)
+		}
+	}
+}
+
 func TestSilentCacheIsCalledBack(t *testing.T) {
 	g := newRig(t, settings(), 2, 1)
 	var token int64
