--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 	behindLeast     = 1          // that limit at least, or no recovery would be seen
 	behindMost      = 1000       // that limit at most, and at the start: few fills get that far
 	limitGrowth     = 9          // added to a limit, summed over a server's routers, a round of answers
-	limitTarget     = 0.5        // share of the aim past which an answer cuts a limit
+	limitTarget     = 0.5        // share of the aim less the sending time past which an answer cuts a limit
 	limitTargetMean = 0.8        // the same where sizes are not told: a large part is late by nature
 	denseReserve    = 0.5        // share of a limit kept for what earns most for its sending time
 	retryAims       = 0.12       // least retry-after in aims, up to twice that: a try in time still earns
@@ -544,7 +544,7 @@
 func (r *Router) adapt(q *request, a *attempt, ev *Event) {
 	aim := limitTargetMean * r.aim(q)
 	if q.SizeKb > 0 {
-		aim = limitTarget * r.aim(q)
+		aim = r.sending(q) + limitTarget*(r.aim(q)-r.sending(q))
 	}
 	move := func(n *node, use float64, late bool) { // use: part of the attempts counted that it serves
 		switch {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -805,3 +805,24 @@
 		t.Errorf("limit %v after a late answer, %v before", p.limit, before)
 	}
 }
+
+// A large part takes its sending time on an empty link; that alone once counted as late, and on busy days each such
+// answer cut the limits of caches and parents until misses were refused.
+func TestLargePartAtFullPaceIsNotLate(t *testing.T) {
+	g := newRig(t, settings(), 1, 1)
+	c, p := g.r.nodes["c0"], g.r.nodes["p0"]
+	for _, tc := range []struct {
+		extra int64
+		cut   bool
+	}{{500 * ms, false}, {1400 * ms, true}} { // sending takes 2 s, the aim is 4.6 s
+		q := g.one(Event{Kind: Request, Call: fmt.Sprint(tc.extra), Class: "big", Object: "x", SizeKb: 2000, ExpiresIn: 5 * sec})
+		ev := result(q, 0, Done, 2)
+		ev.Rtt = 2*sec + tc.extra
+		g.now += ev.Rtt
+		c.limit, c.cutAt, p.limit, p.cutAt = 2, 1, 2, 1
+		g.do(ev)
+		if got := []bool{c.limit < 2, p.limit < 2}; got[0] != tc.cut || got[1] != tc.cut {
+			t.Errorf("%d us past the sending time: limits cut %v", tc.extra, got)
+		}
+	}
+}
