--- a/internal/msgpackrpc/codec_test.go
+++ b/internal/msgpackrpc/codec_test.go
@@ -150,4 +150,12 @@
 			t.Errorf("%s = %v: %v", name, value, err)
 		}
 	}
+	for _, pair := range [][2]string{{"block", "2.5"}, {"block", "0x10"}, {"family", "256"}, {"ref", "r2"}, {"lookup", "7f3a9c21e0b4d65g"},
+		{"allow", "-1"}, {"allow", "NaN"}, {"allow", "Inf"}, {"room", "Inf"}} { // caches close on ids that are none
+		bad := good()
+		bad[pair[0]] = pair[1]
+		if _, err := parseRequest("segment", []any{bad, []byte(nil)}, true); err == nil || !strings.Contains(err.Error(), pair[0]) {
+			t.Errorf("%s = %s: %v", pair[0], pair[1], err)
+		}
+	}
 }
--- a/internal/msgpackrpc/request.go
+++ b/internal/msgpackrpc/request.go
@@ -57,6 +57,8 @@
 const (
 	longestToken = 64
 	longestAllow = 3.6e6 // ms
+	mostPart     = 1 << 20
+	mostGroup    = 255
 )
 
 // parseRequest reads [FIELDS, BODY]. An error names the field that can't be used.
@@ -91,6 +93,13 @@
 		}
 		return s
 	}
+	hex := func(name string, needed bool) string {
+		s := text(name, needed)
+		if s != "" && !hex16(s) {
+			fail(name)
+		}
+		return s
+	}
 	number := func(name string, least, most float64) float64 {
 		v, present := fields[name]
 		if !present && least == 0 {
@@ -103,17 +112,39 @@
 		}
 		return f
 	}
-	q.ID = text("ref", true)
-	q.Object = text("lookup", false)
+	whole := func(name string, most int64) int64 { // a fraction must not become another part on the way
+		v, present := fields[name]
+		if !present {
+			return 0
+		}
+		s, _ := v.(string)
+		n, bad := strconv.ParseUint(s, 10, 63)
+		if bad != nil || int64(n) > most {
+			fail(name)
+		}
+		return int64(n)
+	}
+	q.ID = hex("ref", true)
+	q.Object = hex("lookup", false)
 	q.Key = text("replay", keyed)
 	q.Have = text("cached", false)
 	q.Allow = number("allow", 1, longestAllow)
-	q.Part = int64(number("block", 0, 1<<31))
-	q.Group = int64(number("family", 0, 1<<16))
+	q.Part = whole("block", mostPart)
+	q.Group = whole("family", mostGroup)
 	q.SizeKb = number("room", 0, 1e9)
 	return q, err
 }
 
+// hex16 reports that s is an id as the protocol writes it. Caches answer other ids with an error, or close on them.
+func hex16(s string) bool {
+	for _, c := range []byte(s) {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
 // token reports that s can be passed on in a list of name=value pairs: a comma or a line end in it would forge
 // other fields.
 func token(s string) bool {
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -21,8 +21,8 @@
 
 // Figures of client connections; times are milliseconds.
 const (
-	maxOpen     = 64          // requests open on one connection: twice what a client may
-	queueRoom   = 2 * maxOpen // answers waiting to be written on one connection
+	maxOpen     = 32          // requests open on one connection: what a client may
+	queueRoom   = 4 * maxOpen // answers waiting to be written on one connection
 	firstLimit  = 2_000       // for the first message: usual clients connect to ask, others hold a place in silence
 	idleLimit   = 6_000       // clients close idle connections after 4 s; this is for those that hold them for good
 	frameLimit  = 2_000       // for the rest of a message once it has begun
--- a/internal/resp/codec.go
+++ b/internal/resp/codec.go
@@ -165,7 +165,10 @@
 		return "", end, fmt.Errorf("%w: unknown word %.20q", errMalformed, word)
 	}
 	end.Code, end.Same = code, word == "SAME"
-	if len(parts) > bodyPlace && word == "OK" {
+	if word == "OK" {
+		if len(parts) <= bodyPlace {
+			return "", end, fmt.Errorf("%w: OK without a body", errMalformed)
+		}
 		end.Body = parts[bodyPlace]
 	}
 	if len(parts) <= 2 || string(parts[2]) == "-" {
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -33,6 +33,8 @@
 	queueRoom   = 64   // commands waiting to be written on one connection
 	dropPatient = 20   // ms to wait for a DROP to be written
 	dropMemory  = 2000 // ms within which the next attempt of a dropped id would come
+	silentFor   = 250  // ms without an answer after which a connection whose attempt was given up is no good
+	stallLimit  = 1000 // ms within an answer without a further byte
 	readBuffer  = 4 << 10
 	connsEach   = 24 // connections to one server before they are shared
 	logEvery    = 1000
@@ -89,6 +91,7 @@
 	chosen float64
 	sent   float64
 	conn   *conn // nil until a connection takes it
+	begun  bool  // the writer has begun on it: only now can an answer be its own
 	over   bool
 	done   chan router.End
 }
@@ -312,7 +315,8 @@
 
 // Drop implements router.Call. It waits for the DROP to be written, and closes a connection on which nothing was heard
 // since the attempt went out: a machine that is cut off reads no DROP, but the close gives up all that is open on it.
-// Both guard the rule that a request has one attempt out at a time, since its next one may go anywhere.
+// Both guard the rule that a request has one attempt out at a time, since its next one may go anywhere. Where none can
+// follow, the connection stays unless it has been silent for a while: a client in a hurry tells nothing of it.
 func (k *call) Drop(again bool) {
 	p := k.pools
 	p.mu.Lock()
@@ -344,7 +348,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.heard < k.sent && (again || len(c.calls) == 0) {
+	if c.heard < k.sent && (again || len(c.calls) == 0 && now-k.sent > silentFor) {
 		c.close()
 	}
 	c.rest()
@@ -361,6 +365,7 @@
 		k.end(router.End{Code: rules.Refused})
 		c.rest()
 	}
+	k.begun = !k.over
 	return !k.over
 }
 
@@ -387,11 +392,26 @@
 	}
 }
 
+// steady is a connection that must go on with what it has begun: after each read the next bytes are due soon. It
+// guards against answers that stop short on a connection that stays open, and hold up all that is out on it.
+type steady struct{ net.Conn }
+
+func (s *steady) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	s.Conn.SetReadDeadline(clock.Deadline(stallLimit))
+	return n, err
+}
+
 // read takes answers to their calls until the stream ends.
 func (c *conn) read() {
-	in := bufio.NewReaderSize(c.net, readBuffer)
+	in := bufio.NewReaderSize(&steady{Conn: c.net}, readBuffer)
 	for {
-		parts, err := readArray(in)
+		c.net.SetReadDeadline(time.Time{}) // the first byte may take as long as its attempt
+		_, err := in.Peek(1)
+		var parts [][]byte
+		if err == nil {
+			parts, err = readArray(in)
+		}
 		var id string
 		var end router.End
 		if err == nil {
@@ -404,7 +424,12 @@
 		p := c.pool.owner
 		p.mu.Lock()
 		delete(c.dropped, id) // an answer that crossed its DROP
-		if k := c.calls[id]; k != nil {
+		if k := c.calls[id]; k != nil && k.begun {
+			if end.Same && k.try.Have == "" { // it can't be this request's: nothing on the stream can be trusted
+				p.mu.Unlock()
+				c.fail(fmt.Errorf("%w: SAME for a client without a copy", errMalformed))
+				return
+			}
 			delete(c.calls, id)
 			k.end(end)
 		}
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -286,3 +287,63 @@
 		t.Errorf("%d bytes, %v", len(parts), err)
 	}
 }
+
+// An answer that comes before its attempt has been written can't be the attempt's: it is ignored, as are a second copy
+// and an unknown id, and the true answer is taken.
+func TestAnswerAhead(t *testing.T) {
+	p, _ := newPools(t, "127.0.0.1:1")
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 4), calls: map[string]*call{},
+		dropped: map[string]float64{}, gone: make(chan struct{})}
+	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}}, chosen: 1000, done: make(chan router.End, 1)}
+	p.mu.Lock()
+	c.start(k) // queued, and no writer yet
+	p.mu.Unlock()
+	go c.read()
+	l := &link{t, far, bufio.NewReader(far)}
+	l.say("a", "OK", "-", "ahead")
+	l.say("b", "OK", "-", "unknown") // its first byte is taken when the one before has been dealt with
+	go c.write()
+	l.expect("GET a")
+	l.say("a", "OK", "-", "true")
+	if e := wantCode(t, k, rules.Done); string(e.Body) != "true" {
+		t.Errorf("served %q", e.Body)
+	}
+	l.say("a", "OK", "-", "second")
+	l.say("b", "OK", "-", "unknown")
+}
+
+// What can't be its request's answer spoils the connection, with all that is out on it.
+func TestCannotBelong(t *testing.T) {
+	for _, words := range [][]string{{"a", "SAME", "n=TCP_HIT"}, {"a", "OK", "n=TCP_HIT"}, {"a", "GOOD", "-", "x"}} {
+		c := listen(t)
+		p, _ := newPools(t, c.addr())
+		k := send(p, "a")
+		one := c.accept()
+		one.expect("GET a")
+		one.say(words...)
+		wantCode(t, k, rules.Reset)
+		if _, err := one.in.ReadByte(); err == nil {
+			t.Errorf("%q: the connection is still open", words)
+		}
+	}
+}
+
+// recorder is a connection that brings one byte and notes the deadline set after it.
+type recorder struct {
+	net.Conn
+	due time.Time
+}
+
+func (r *recorder) Read([]byte) (int, error)            { return 1, nil }
+func (r *recorder) SetReadDeadline(due time.Time) error { r.due = due; return nil }
+
+// An answer that stops short on an open connection held up all others on it for good: after a first byte the next is
+// due.
+func TestStall(t *testing.T) {
+	r := &recorder{}
+	if _, err := (&steady{Conn: r}).Read(nil); err != nil || r.due.IsZero() {
+		t.Errorf("no deadline for the next byte (%v)", err)
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -10,6 +10,8 @@
 const (
 	// answerMargin is kept from the client's time for the way there and back and for a busy core, in milliseconds.
 	answerMargin = 25
+	// lastMoment before the end of its time no further attempt of a request goes out.
+	lastMoment = 1
 	// overdue is how long past that the module may leave a request without an answer before the router gives one.
 	overdue = 10
 	// mailboxRoom is far more than the module ever has to say to one request at once.
@@ -103,7 +105,7 @@
 				return Answer{Verdict: Served, Body: e.Body, Same: e.Same}
 			}
 		case <-timeout:
-			call.Drop(true)
+			call.Drop(r.clock.Now() < end-lastMoment)
 			over(End{Code: rules.TimedOut})
 		case <-ctx.Done():
 			abandon()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,6 +27,7 @@
 	silentCheck     = 0.5        // time between looks for silence, in aims
 	silentAims      = 4          // aims without an answer: silent, however few were due
 	leastAim        = 0.05       // an aim counts as this share of the deadline at least
+	doubtsMost      = 2          // caches that give a bare error: then it is the request, not they
 	passAttempts    = 3          // attempts of an uncacheable request: refusals come at once
 	coldSafety      = 0.6        // share of a cold budget used: parts are uneven, estimates rough
 	rateSpan        = 4_000_000  // us over which rates are averaged
@@ -164,6 +165,7 @@
 	cache          *node   // the cache whose fill failed
 	held, heldDone bool    // the next attempt takes a held copy, without a fill; it has been made
 	tried, sources []*node // caches and sources that failed this request
+	doubts         []*node // caches that gave a bare error: charged once another has shown that q is sound
 }
 
 // Router decides for one instance. It is not safe for concurrent use.
@@ -794,6 +796,11 @@
 	if mayRun(ev.Code) && q.ranNode == nil {
 		q.ranAt, q.ranNode = a.at, a.node
 	}
+	if len(q.doubts) >= doubtsMost {
+		r.drop(q.Call)
+		r.act(Action{Kind: Fail, Call: q.Call})
+		return
+	}
 	switch {
 	case q.held: // nothing held: another source while one is left, else a refusal
 		q.held = false
@@ -860,9 +867,17 @@
 	if ev.Code == Cancelled || ev.Code == Skipped || write && a.node.role != roleCache {
 		return
 	}
-	if bad != nil {
+	// A bare error may be the request's own fault, as with an object that nobody knows.
+	if doubt := ev.Code == Failed && ev.Note == 0 && bad == a.node; doubt {
+		q.doubts = append(q.doubts, bad)
+	} else if bad != nil {
 		charge(bad, true, 1)
 	}
+	if ev.Code == Done {
+		for _, n := range q.doubts {
+			charge(n, true, 1)
+		}
+	}
 	if ev.Code == Done || ev.Code == Miss || ev.Note >= 6 {
 		charge(a.node, false, 1)
 	}
