Forget servers that left the list once nothing is out at them

The entry now goes at the next change of the list after its last attempt. Test: 50 replacements leave the servers listed and the one with an attempt out.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -124,6 +124,7 @@
 	role             int
 	cell, cameUp     int64
 	usable           bool // listed as healthy
+	gone             bool // listed no more: forgotten once nothing is out at it
 	brk              breaker
 	out              int     // attempts out at it or filled from it
 	limit            float64 // the most that may be out (AIMD)
@@ -268,7 +269,7 @@
 	}
 	if ev.Mode != "update" {
 		for _, n := range r.nodes {
-			n.usable = false
+			n.usable, n.gone = false, true
 		}
 	}
 	for _, row := range ev.Rows {
@@ -280,7 +281,7 @@
 		if row.CameUp != n.cameUp { // a new process: what was held against the old one is void
 			n.cameUp, n.brk, n.spent, n.limit, n.cutAt = row.CameUp, breaker{}, nil, 0, 0
 		}
-		n.usable = row.Status == "healthy"
+		n.usable, n.gone = row.Status == "healthy", row.Status == "deregistered"
 		if row.Status == "deregistered" {
 			continue
 		}
@@ -306,6 +307,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(r.nodes, func(_ string, n *node) bool { return n.gone && n.out == 0 })
 	r.caches, r.parents, r.origin = nil, nil, nil
 	for _, name := range slices.Sorted(maps.Keys(r.nodes)) {
 		n := r.nodes[name]
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -862,3 +862,27 @@
 		}
 	}
 }
+
+// Caches replaced all day long, each by one with a new id, are forgotten once nothing is out at them.
+func TestGoneServersAreForgotten(t *testing.T) {
+	g := newRig(t, settings(), 1, 1)
+	row := func(name, status string) Row {
+		return Row{Node: name, Zone: "z", Kind: "box", Status: status, Weight: 1}
+	}
+	out := g.ask("small", "x")
+	for i := range 50 {
+		old := "c0"
+		if i > 0 {
+			old = fmt.Sprint("new", i-1)
+		}
+		g.do(Event{Kind: Members, Mode: "update", Rows: []Row{row(old, "deregistered"), row(fmt.Sprint("new", i), "healthy")}})
+	}
+	if len(g.r.nodes) != 4 { // the last one, the parent, the origin, and c0 with its attempt
+		t.Errorf("%d servers known with an attempt out at one that is gone", len(g.r.nodes))
+	}
+	g.do(result(out, 0, Done, 1))
+	g.do(Event{Kind: Members, Mode: "update"})
+	if len(g.r.nodes) != 3 {
+		t.Errorf("%d servers known", len(g.r.nodes))
+	}
+}
