--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,6 +27,14 @@
 	silentCheck     = 0.5        // time between looks for silence, in aims
 	silentAims      = 4          // aims without an answer: silent, however few were due
 	leastAim        = 0.05       // an aim counts as this share of the deadline at least
+	tailUp          = 0.2        // step of the tail of answer times at an answer past it
+	tailDown        = 0.004      // and at any other: 98 of 100 answers stay under it
+	tailStart       = 4.0        // the tail at the start, in usual times
+	tailRoom        = 1.5        // times the tail that a first answer may take: then it is lost
+	lostAnswers     = 3          // answers of its cache meanwhile, or it is no lone loss
+	lostShare       = 0.03       // share of requests that may be called back as lost: no storm in a jam
+	lostMost        = 5          // of them saved up
+	tailBase        = 0.25       // share of the promise that a usual time holds besides the sending time
 	doubtsMost      = 2          // caches that give a bare error: then it is the request, not they
 	passAttempts    = 3          // attempts of an uncacheable request: refusals come at once
 	coldSafety      = 0.6        // share of a cold budget used: parts are uneven, estimates rough
@@ -148,7 +156,7 @@
 	trials             []*node // servers whose half-open trial this is
 	work               float64
 	nodeHad, sourceHad float64 // what they had answered when it was sent
-	silent             bool    // called back because nothing came
+	silent, lost       bool    // called back because nothing came; and others got answers meanwhile
 }
 
 // request is one request that this router owes an answer.
@@ -187,6 +195,8 @@
 	recent    map[string]int
 	recentN   int
 	sendMean  []float64 // by class: mean sending time seen
+	tail      []float64 // by class: what few answers exceed, in usual times
+	spare     float64   // requests that may be called back as lost
 	peak      [roleOther + 1]float64
 	purgeSpan int64 // how long a purge matters
 	token     int64
@@ -213,6 +223,7 @@
 		r.classes[c.Name] = i
 		r.purgeSpan = max(r.purgeSpan, set.Extra.PurgeTakes+c.Deadline)
 		r.sendMean[i] = float64(max(c.Promise, c.Deadline/8)) / 2
+		r.tail = append(r.tail, tailStart)
 	}
 	for _, t := range set.Tenants {
 		r.tenants[t.Name] = &tenant{quota: t.QuotaPerS / float64(max(set.Siblings, 1))}
@@ -360,6 +371,7 @@
 		q.over = t.rate(r.now, rateSpan)*1e6 > t.quota
 	}
 	r.requests[q.Call] = q
+	r.spare = min(r.spare+lostShare, lostMost)
 	q.part = fmt.Sprintf("%s/%d", q.Object, q.Part)
 	r.recent[q.Object]++
 	if r.recentN++; r.recentN >= recentRequests {
@@ -457,11 +469,26 @@
 	r.watch(q)
 }
 
+// usual is how long an answer to q takes where nothing is amiss, roughly.
+func (r *Router) usual(q *request) float64 {
+	return r.sending(q) + tailBase*float64(r.set.Classes[q.class].Promise)
+}
+
+// lost reports that the first answer to q is later than almost all others lately, and alone with that.
+func (r *Router) lost(q *request) bool {
+	a, elapsed := &q.cur, float64(r.now-q.cur.at)
+	return q.attempts == 1 && elapsed >= tailRoom*r.tail[q.class]*r.usual(q) && r.spare >= 1 &&
+		r.set.Classes[q.class].Idempotency == "read_like" && a.node.answered-a.nodeHad >= lostAnswers
+}
+
 func (r *Router) watch(q *request) {
 	r.token++
 	r.watched[r.token] = q
 	c := &r.set.Classes[q.class]
 	look := silentCheck * max(float64(c.Promise), leastAim*float64(c.Deadline))
+	if early := tailRoom*r.tail[q.class]*r.usual(q) - float64(r.now-q.cur.at); q.attempts == 1 && early > 0 {
+		look = min(look, early)
+	}
 	r.act(Action{Kind: SetTimer, In: int64(look) + 1, Token: r.token})
 }
 
@@ -476,6 +503,12 @@
 		return
 	}
 	a := &q.cur
+	if !a.lost && r.set.Permissions.Cancelling && r.lost(q) {
+		r.spare--
+		a.lost = true
+		r.act(Action{Kind: Cancel, Call: q.Call, Attempt: q.attempts - 1})
+		return
+	}
 	if r.silent(q, a.node, a.nodeHad, a.at) || a.fills && r.silent(q, a.source, a.sourceHad, a.at) {
 		unsafe := r.set.Classes[q.class].Idempotency == "non_idempotent"
 		if !a.silent && r.set.Permissions.Cancelling && !unsafe {
@@ -782,7 +815,7 @@
 	}
 	a := q.cur
 	r.settle(q)
-	if ev.Code == Cancelled && a.silent {
+	if ev.Code == Cancelled && (a.silent || a.lost) {
 		ev.Code = TimedOut
 	}
 	if i := r.hasX0; i >= 0 && i < len(ev.Metrics) && a.node.role == roleCache {
@@ -835,7 +868,7 @@
 func (r *Router) blame(q *request, a *attempt, ev *Event) *node {
 	alive := a.node.answered > a.nodeHad
 	switch {
-	case ev.Code == TimedOut && !a.silent && float64(ev.Rtt) < r.aim(q):
+	case ev.Code == TimedOut && (a.lost || !a.silent && float64(ev.Rtt) < r.aim(q)):
 		return nil
 	case ev.Note == 10:
 		return r.origin
@@ -886,6 +919,11 @@
 	if ev.Code != Done {
 		return
 	}
+	if t := &r.tail[q.class]; float64(ev.Rtt) > *t*r.usual(q) {
+		*t *= 1 + tailUp
+	} else {
+		*t *= 1 - tailDown
+	}
 	r.book(q, a, ev)
 	switch {
 	case !a.fills || write:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -886,3 +886,42 @@
 		t.Errorf("%d servers known", len(g.r.nodes))
 	}
 }
+
+// An answer that never comes cost its request all its time; called back once it is later than almost all others, it is
+// mostly found held in the same cache. A jam, where nobody is answered, calls nothing back, and no more than a share
+// of the requests is.
+func TestLostAnswerIsCalledBack(t *testing.T) {
+	for _, tc := range []struct {
+		others int
+		spare  float64
+		want   bool
+	}{{lostAnswers, 1, true}, {lostAnswers - 1, 1, false}, {lostAnswers, 0.5, false}} {
+		g := newRig(t, settings(), 1, 1)
+		g.r.tail[1] = 2
+		var token int64
+		for _, a := range g.r.Step(g.now, []Event{{Kind: Request, Call: "lost", Class: "small", Object: "x", SizeKb: 50, ExpiresIn: 3 * sec}}) {
+			if a.Kind == SetTimer {
+				token = a.Token
+			}
+		}
+		for i := range tc.others {
+			g.do(result(g.ask("small", fmt.Sprint(i)), 0, Done, 1))
+		}
+		g.r.spare = tc.spare
+		g.now += int64(tailRoom*2*(50+tailBase*300))*ms + ms
+		acts := g.do(Event{Kind: Timer, Token: token})
+		if got := len(acts) == 1 && acts[0].Kind == Cancel; got != tc.want {
+			t.Errorf("%d others answered, %v to spare: %+v", tc.others, tc.spare, acts)
+		}
+		if !tc.want {
+			continue
+		}
+		again := g.one(Event{Kind: Outcome, Call: "lost", Code: Cancelled, Node: "c0", Rtt: 400 * ms})
+		if again.Kind != Get || again.Node != "c0" || again.Source != "c0" {
+			t.Errorf("after the call back: %+v", again)
+		}
+		if c, p := g.r.nodes["c0"], g.r.nodes["p0"]; c.brk.next != tc.others || p.brk.next != 0 {
+			t.Error("a lone lost answer was charged to a server")
+		}
+	}
+}
