Bound a client's message by what a write may carry; print counters of client connections

Found in reading: a message could make the router hold 128 KB, where a write carries 48,000 bytes, on each of some hundred connections; it is 64 KB now. Connections that gave way or found no place, and faults of clients, were counted and shown nowhere; the counters show them.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -121,7 +121,7 @@
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return follower.Run(serving) })
-	group.Go(func() error { return report(serving, core, log) })
+	group.Go(func() error { return report(serving, core, server, log) })
 	group.Go(func() error {
 		for {
 			select {
@@ -148,7 +148,7 @@
 		return server.Serve(accepting, listener)
 	})
 	err = group.Wait()
-	counters(core, log)
+	counters(core, server, log)
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
@@ -178,7 +178,7 @@
 }
 
 // report prints the counters on SIGUSR1.
-func report(ctx context.Context, core *router.Router, log zerolog.Logger) error {
+func report(ctx context.Context, core *router.Router, server *msgpackrpc.Server, log zerolog.Logger) error {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
@@ -187,14 +187,16 @@
 		case <-ctx.Done():
 			return nil
 		case <-asked:
-			counters(core, log)
+			counters(core, server, log)
 		}
 	}
 }
 
-func counters(core *router.Router, log zerolog.Logger) {
+func counters(core *router.Router, server *msgpackrpc.Server, log zerolog.Logger) {
 	n := &core.Counters
+	gaveWay, turnedAway, clientFaults := server.Counts()
 	log.Info().Int64("taken", n.Taken.Load()).Int64("sent", n.Sent.Load()).Int64("served", n.Served.Load()).
 		Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).Int64("gone", n.Gone.Load()).
-		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Msg("counters")
+		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Int64("client_faults", clientFaults).Int64("gave_way", gaveWay).
+		Int64("turned_away", turnedAway).Msg("counters")
 }
--- a/internal/msgpackrpc/codec.go
+++ b/internal/msgpackrpc/codec.go
@@ -13,10 +13,10 @@
 
 // The most that a message may hold; lengths are checked before anything is allocated.
 const (
-	maxBytes = 64 << 10
+	maxBytes = 48 << 10 // a write carries 48,000 bytes at most
 	maxItems = 64
 	maxDepth = 6
-	maxTotal = 128 << 10
+	maxTotal = 64 << 10
 )
 
 var errMalformed = errors.New("malformed message")
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -51,7 +51,7 @@
 	conns      map[*conn]bool
 	queued     int64
 	drains     bool
-	faults     int
+	faults     int64
 	logged     float64
 	gaveWay    int64
 	turnedAway int64
@@ -131,11 +131,11 @@
 	return true
 }
 
-// Places tells how many connections gave way to others, and how many found no place.
-func (s *Server) Places() (gaveWay, turnedAway int64) {
+// Counts tells how many connections gave way to others, how many found no place, and how many faults there were.
+func (s *Server) Counts() (gaveWay, turnedAway, faults int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gaveWay, s.turnedAway
+	return s.gaveWay, s.turnedAway, s.faults
 }
 
 func (s *Server) draining() bool {
@@ -151,7 +151,7 @@
 	s.faults++
 	if now := s.Clock.Now(); now-s.logged >= logEvery {
 		s.logged = now
-		s.Log.Warn().Err(err).Int("faults", s.faults).Msg("client connection fault")
+		s.Log.Warn().Err(err).Int64("faults", s.faults).Msg("client connection fault")
 	}
 }
 
