--- a/rules/helper.go
+++ b/rules/helper.go
@@ -5,7 +5,7 @@
 	"math"
 )
 
-// Arithmetic that decides nothing: what it is fed with, and what follows from it, stands in rules.go.
+// Arithmetic that decides nothing: what it is fed with, and what follows from it, stands in the policy files.
 
 // meter is an average of work a microsecond that forgets exponentially over a span of microseconds.
 type meter struct {
--- /dev/null
+++ b/rules/picking.go
@@ -0,0 +1,161 @@
+package rules
+
+// Which server gets a request, and which one fills a miss.
+
+import "slices"
+
+// Times are microseconds; the rest are ratios or counts.
+const (
+	hotShare       = 0.25 // an object is hot past this share of a cache's even part of requests
+	recentRequests = 512  // requests over which shares are counted, halved when full
+	passAttempts   = 3    // attempts of an uncacheable request: refusals come at once
+	keepRank       = 1    // rank of copies kept: one rank, dropped by last use
+)
+
+// dispatch sends the next attempt of q or gives its final answer at once.
+func (r *Router) dispatch(q *request) {
+	if q.deadline <= r.now || q.attempts >= r.set.Permissions.MaxAttempts || !r.mayResend(q) {
+		r.end(q)
+		return
+	}
+	if at(r.set.Extra.PassOn, q.class) {
+		r.passOn(q)
+		return
+	}
+	a := attempt{node: q.cache}
+	full := false
+	if a.node == nil || !r.usableFor(q, a.node) {
+		q.held = false
+		a.node, full = r.pickCache(q)
+	}
+	if a.node == nil {
+		r.without(q, full)
+		return
+	}
+	how := 0
+	if !q.held {
+		a.source, how = r.pickSource(q)
+	}
+	a.fills = a.source != nil
+	if !a.fills { // all that could fill is open, or a fill failed: any held copy
+		q.held, q.heldDone, a.source = true, true, a.node
+	}
+	r.send(q, a, Action{Keep: keepRank, How: how, MaxAge: r.maxAge(q)})
+}
+
+// usableFor reports that a cache may get q. While all of the zone are open, those that failed in part may.
+func (r *Router) usableFor(q *request, n *node) bool {
+	shut := n.brk.open(r.now) && (n.brk.dead || !r.panic)
+	return n.usable && !shut && !slices.Contains(q.tried, n) && r.sameGroup(q, n) &&
+		r.affordable(n, r.sendMean[q.class])
+}
+
+// pickCache takes the first usable cache, of two when hot; full: one was passed over for its limit alone.
+func (r *Router) pickCache(q *request) (pick *node, full bool) {
+	r.panic = !slices.ContainsFunc(r.caches, func(n *node) bool { return !n.brk.open(r.now) })
+	order := rendezvous(r.caches, q.part, r.weighs)
+	var fit []*node
+	for _, n := range order {
+		if !r.usableFor(q, n) {
+			continue
+		}
+		if r.room(q, n) {
+			fit = append(fit, n)
+		} else {
+			full = true
+		}
+	}
+	if len(fit) == 0 {
+		return nil, full
+	}
+	seen := float64(max(r.recentN, recentRequests/8))
+	hot := float64(r.recent[q.Object]*len(r.caches)) > hotShare*seen
+	if hot && len(fit) > 1 && fit[1].out+1 < fit[0].out && !fit[1].brk.ready(r.now) {
+		return fit[1], full
+	}
+	return fit[0], full
+}
+
+// pickSource takes the object's first parent not open, full or cold at its budget; held copies if shut.
+func (r *Router) pickSource(q *request) (source *node, how int) {
+	if r.set.Extra.SharesFills && r.sincePurge(q) == 0 {
+		how = Join // not after a purge: what is under way may be older
+	}
+	shut := r.origin == nil || r.origin.brk.open(r.now) || !r.room(q, &r.behind)
+	if shut && len(r.parents) > 0 {
+		how |= HeldOnly
+	}
+	closed := len(r.parents) == 0 || len(q.sources) > 0
+	for _, n := range rendezvous(r.parents, q.Object, r.weighs) {
+		if n.brk.open(r.now) || slices.Contains(q.sources, n) {
+			continue
+		}
+		closed = true
+		if r.affordable(n, r.sendMean[q.class]) && r.room(q, n) {
+			return n, how
+		}
+	}
+	// Departure: where none but open, full or cold ones are left, the origin takes fills, within its limit.
+	if closed && !shut && r.room(q, r.origin) && !slices.Contains(q.sources, r.origin) {
+		return r.origin, how
+	}
+	return nil, how
+}
+
+// without answers q if no cache can be used: refused if some are merely full, else a source is asked.
+func (r *Router) without(q *request, full bool) {
+	source, how := r.pickSource(q)
+	if full || !r.set.Extra.Straight || r.origin == nil || source == nil || !r.sameGroup(q, source) {
+		r.end(q)
+		return
+	}
+	a := attempt{node: source, source: r.origin, fills: true}
+	if source == r.origin || how&HeldOnly != 0 {
+		a.source, a.fills, how = source, false, 0
+	}
+	r.send(q, a, Action{How: how, MaxAge: r.maxAge(q)})
+}
+
+// passOn sends an uncacheable request to the origin past all breakers: straight, else through a cache.
+func (r *Router) passOn(q *request) {
+	a := attempt{node: r.origin}
+	if !r.set.Extra.Straight || a.node == nil || !r.sameGroup(q, a.node) {
+		a.node, _ = r.pickCache(q)
+		a.source = r.origin
+	}
+	if r.origin == nil || a.node == nil || q.attempts >= passAttempts {
+		r.end(q)
+		return
+	}
+	r.send(q, a, Action{})
+}
+
+// send puts an attempt on the wire and books it.
+func (r *Router) send(q *request, a attempt, act Action) {
+	act.Kind, act.Call, act.Node = Get, q.Call, a.node.name
+	if a.source != nil {
+		act.Source = a.source.name
+	}
+	act.TimeOut = max(q.deadline-r.now, 1)
+	a.at, a.work, a.nodeHad = r.now, r.sendMean[q.class], a.node.answered
+	for i, n := range []*node{a.node, a.source, r.origin} {
+		if n != nil && n.brk.ready(r.now) && (i == 0 || a.fills && (i == 1 || act.How&HeldOnly == 0)) {
+			n.brk.trial = true
+			a.trials = append(a.trials, n)
+		}
+	}
+	r.spend(a.node, a.work)
+	if a.fills {
+		r.spend(a.source, a.work)
+		a.source.out++
+		if a.deep = a.source != r.origin && act.How&HeldOnly == 0; a.deep {
+			r.behind.out++
+		}
+		a.sourceHad = a.source.answered
+	}
+	a.node.out++
+	q.cur, q.out = a, true
+	q.attempts++
+	r.act(act)
+	r.watch(q)
+}
