--- a/rules/breakers.go
+++ b/rules/breakers.go
@@ -78,8 +78,12 @@
 			n.answered += weight
 			n.answers.add(r.now, rateSpan, weight)
 		}
+		until := n.brk.until
 		n.brk.record(r.now, failed, slices.Contains(a.trials, n), weight, share,
 			int64(base*(1+breakerSpread*r.rng.Float64())))
+		if n.brk.until != until {
+			r.findOdd()
+		}
 	}
 	write := at(r.set.Extra.PassOn, q.class)
 	if ev.Code == Cancelled || ev.Code == Skipped || write && a.node.role != roleCache {
--- a/rules/cold.go
+++ b/rules/cold.go
@@ -14,7 +14,7 @@
 	}
 	// Hundreds have less than a request each: a draw a span lets so many send one as keep the sum.
 	fall, sum := r.set.Guarantees.Fall, 0.0
-	if r.now-n.drawnAt > fall {
+	if r.drawDue(n) {
 		n.drawnAt, n.luck = r.now, r.rng.Float64()
 	}
 	n.spent = slices.DeleteFunc(n.spent, func(s sent) bool { return r.now-s.at > fall })
@@ -27,6 +27,9 @@
 	return sum+work <= coldSafety*mult*frac*r.capacity(n)*float64(fall)
 }
 
+// drawDue reports that the next look at a cold n draws its luck anew.
+func (r *Router) drawDue(n *node) bool { return r.now-n.drawnAt > r.set.Guarantees.Fall }
+
 // warmth tells the least share of its capacity that a server started lately can give.
 func (r *Router) warmth(n *node) (frac, mult float64, cold bool) {
 	from, span := r.set.Guarantees.ColdFrom, r.set.Guarantees.Cold
--- a/rules/helper.go
+++ b/rules/helper.go
@@ -1,8 +1,8 @@
 package rules
 
 import (
-	"hash/fnv"
 	"math"
+	"strconv"
 )
 
 // Arithmetic that decides nothing: what it is fed with, and what follows from it, stands in the policy files.
@@ -30,13 +30,15 @@
 	return v
 }
 
-// uniform hashes two strings to a number between 0 and 1, both excluded. FNV spreads late bytes badly, so a
-// mix finishes it.
-func uniform(a, b string) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(a + "\x00" + b))
-	x := h.Sum64()
+// mix finishes a hash to 53 bits: FNV spreads late bytes badly.
+func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return (float64((x^x>>31)>>11) + 0.5) / (1 << 53)
+	return (x ^ x>>31) >> 11
+}
+
+// partKey is the key of a part, as "7f3a/3", in one allocation.
+func partKey(object string, part int64) string {
+	var room [48]byte
+	return string(strconv.AppendInt(append(append(room[:0], object...), '/'), part, 10))
 }
--- a/rules/members.go
+++ b/rules/members.go
@@ -71,7 +71,19 @@
 			r.origin = n
 		}
 	}
+	r.findOdd()
+	r.cacheRank, r.upRank = newRanks(r.caches, r.weighs), newRanks(r.parents, r.weighs)
 	if ev.Mode == "restored" && r.set.Discovery == "subscribe" {
 		r.act(Action{Kind: Subscribe, On: true})
 	}
 }
+
+// findOdd notes the caches whose use must be looked into: a breaker not closed, or a late start.
+func (r *Router) findOdd() {
+	r.odd = r.odd[:0]
+	for _, n := range r.caches {
+		if _, _, cold := r.warmth(n); cold || n.brk.until != 0 {
+			r.odd = append(r.odd, n)
+		}
+	}
+}
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -53,29 +53,56 @@
 // pickCache takes the first usable cache, of two when hot; full: one was passed over for its limit alone.
 func (r *Router) pickCache(q *request) (pick *node, full bool) {
 	r.panic = !slices.ContainsFunc(r.caches, func(n *node) bool { return !n.brk.open(r.now) })
-	order := rendezvous(r.caches, q.part, r.weighs)
-	var fit []*node
-	for _, n := range order {
+	seen := float64(max(r.recentN, recentRequests/8))
+	hot := float64(r.recent[q.Object]*len(r.caches)) > hotShare*seen
+	r.cacheRank.start(q.part)
+	var fit [2]*node
+	found, wanted, drawn := 0, 1, 0
+	if hot {
+		wanted = 2
+	}
+	for n := r.cacheRank.next(); n != nil; n = r.cacheRank.next() {
 		if !r.usableFor(q, n) {
 			continue
 		}
-		if r.room(q, n) {
-			fit = append(fit, n)
-		} else {
+		drawn++
+		if !r.room(q, n) {
 			full = true
+			continue
+		}
+		if found < len(fit) {
+			fit[found] = n
+		}
+		if found++; found == wanted && r.skipDraws(q, drawn) {
+			break
 		}
 	}
-	if len(fit) == 0 {
-		return nil, full
-	}
-	seen := float64(max(r.recentN, recentRequests/8))
-	hot := float64(r.recent[q.Object]*len(r.caches)) > hotShare*seen
-	if hot && len(fit) > 1 && fit[1].out+1 < fit[0].out && !fit[1].brk.ready(r.now) {
+	if wanted == 2 && found > 1 && fit[1].out+1 < fit[0].out && !fit[1].brk.ready(r.now) {
 		return fit[1], full
 	}
 	return fit[0], full
 }
 
+// skipDraws spares looking at the caches ranked below those found. Each usable one has its draw in room all
+// the same, so that a day plays as if all had been looked at; false if one needs a draw of its own for that.
+// drawn counts those made already.
+func (r *Router) skipDraws(q *request, drawn int) bool {
+	plain, look := len(r.caches)-len(r.odd), r.odd
+	if q.ranNode != nil || len(q.tried) > 0 {
+		plain, look = 0, r.caches
+	}
+	for _, n := range look {
+		if n.cameUp > 0 && r.drawDue(n) {
+			return false
+		}
+		if r.usableFor(q, n) {
+			plain++
+		}
+	}
+	r.pcg.skip(plain - drawn)
+	return true
+}
+
 // pickSource takes the object's first parent not open, full or cold at its budget; held copies if shut.
 func (r *Router) pickSource(q *request) (source *node, how int) {
 	if r.set.Extra.SharesFills && r.sincePurge(q) == 0 {
@@ -86,7 +113,8 @@
 		how |= HeldOnly
 	}
 	closed := len(r.parents) == 0 || len(q.sources) > 0
-	for _, n := range rendezvous(r.parents, q.Object, r.weighs) {
+	r.upRank.start(q.Object)
+	for n := r.upRank.next(); n != nil; n = r.upRank.next() {
 		if n.brk.open(r.now) || slices.Contains(q.sources, n) {
 			continue
 		}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,6 +1,6 @@
-// Package rules makes the decisions of a router before tiers of caches with one origin behind them. Each concern
-// has a file of its own with its tuned values; the interface (settings, events, actions) is in types.go, and what
-// is remembered in state.go.
+// Package rules makes the decisions of a router before tiers of caches with one origin behind them. Each
+// concern has a file of its own, with its tuned values; the interface (settings, events, actions) is in
+// types.go, and what is remembered in state.go.
 package rules
 
 import (
@@ -19,10 +19,11 @@
 
 // New returns a router for the settings; seed feeds its random numbers.
 func New(set Settings, seed int64) (*Router, error) {
-	r := &Router{set: set, rng: rand.New(rand.NewPCG(uint64(seed), 0)), classes: map[string]int{},
+	r := &Router{set: set, pcg: &pcg{hi: uint64(seed)}, classes: map[string]int{},
 		nodes: map[string]*node{}, requests: map[string]*request{}, purged: map[purgeKey]int64{},
 		watched: map[int64]*request{}, tenants: map[string]*tenant{}, recent: map[string]int{},
 		sendMean: make([]float64, len(set.Classes)), behind: node{limit: behindMost}}
+	r.rng, r.cacheRank, r.upRank = rand.New(r.pcg), newRanks(nil, false), newRanks(nil, false)
 	if len(set.Classes) == 0 {
 		return nil, fmt.Errorf("Classes: none")
 	}
@@ -79,7 +80,12 @@
 	return r.acts
 }
 
-func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
+func (r *Router) act(a Action) {
+	if r.acts == nil {
+		r.acts = make([]Action, 0, 2)
+	}
+	r.acts = append(r.acts, a)
+}
 
 func (r *Router) take(ev *Event) {
 	class, known := r.classes[ev.Class]
@@ -94,7 +100,7 @@
 	}
 	r.requests[q.Call] = q
 	r.spare = min(r.spare+lostShare, lostMost)
-	q.part = fmt.Sprintf("%s/%d", q.Object, q.Part)
+	q.part = partKey(q.Object, q.Part)
 	r.recent[q.Object]++
 	if r.recentN++; r.recentN >= recentRequests {
 		maps.DeleteFunc(r.recent, func(_ string, n int) bool { return n < 2 })
--- a/rules/state.go
+++ b/rules/state.go
@@ -2,12 +2,7 @@
 
 // What a Router remembers: the structures that the decisions beside it read and write. Nothing is decided here.
 
-import (
-	"cmp"
-	"math"
-	"math/rand/v2"
-	"slices"
-)
+import "math/rand/v2"
 
 // breaker is a failure-rate breaker: closed, open until a time, then half-open with one trial out.
 type breaker struct {
@@ -54,7 +49,6 @@
 	answered         float64 // their sum
 	weight, missPart float64
 	seats            float64 // routers that share it
-	score            float64 // of the last ranking: scratch
 }
 
 // attempt is what is out for a request.
@@ -90,12 +84,16 @@
 type Router struct {
 	set       Settings
 	rng       *rand.Rand
+	pcg       *pcg // what rng draws from
 	now       int64
 	acts      []Action
 	classes   map[string]int
 	nodes     map[string]*node
 	caches    []*node // usable, of the own zone, by name
 	parents   []*node // usable, by name
+	odd       []*node // of caches: those that are not plainly usable, or were not
+	cacheRank *ranks
+	upRank    *ranks // of parents
 	origin    *node
 	behind    node // the origin as seen through parents: what may ask it in turn
 	requests  map[string]*request
@@ -114,16 +112,3 @@
 	weighs    bool // weights tell the sizes of servers
 	panic     bool // every cache of the zone is open
 }
-
-// rendezvous orders nodes by a hash of key and name alone, so that all routers agree.
-func rendezvous(nodes []*node, key string, weighted bool) []*node {
-	for _, n := range nodes {
-		n.score = -math.Log(uniform(key, n.name))
-		if weighted && n.weight > 0 {
-			n.score /= n.weight
-		}
-	}
-	order := slices.Clone(nodes)
-	slices.SortStableFunc(order, func(a, b *node) int { return cmp.Compare(a.score, b.score) })
-	return order
-}
