--- /dev/null
+++ b/core/cells/gate.go
@@ -0,0 +1,564 @@
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"spantack/rules"
+)
+
+// Sets of caches are numbered for rules: 1 to MaxCells are the cells, the tenants' own follow.
+const firstTenantSet = MaxCells + 1
+
+// What the gate starts from and moves by.
+const (
+	missAtFirst  = 0.3   // share of misses of a tenant of whom nothing is known
+	deepAtFirst  = 0.1   // and of those that reach the head office
+	missStep     = 0.05  // step of that share
+	sizeStep     = 0.02  // step of the mean size of a class, where sizes are not told
+	sizeAtFirst  = 100.0 // KB, before the first answer
+	giveAtFirst  = 250.0 // ms, where the budget names none
+	crowdedShare = 0.05  // share of requests refused by rules past which a cell is crowded
+	waitLeast    = 0.25  // least time to stay away of a request over budget, in parts of the longest
+	countEvery   = 500_000
+	busyWithin   = 2_000_000 // microseconds since its last request in which a tenant counts as one of its cell
+	mostOpenPart = 0.9       // part of the requests open at once that cells may fill; the rest is for quiet tenants
+)
+
+// Reason tells why a request was refused at the gate, for logs and `spanctl`.
+type Reason int
+
+// The reasons.
+const (
+	None     Reason = iota
+	NoCache         // the cell has no live cache, and names no neighbour that has one
+	Heavy           // its tenant uses more than a crowded cell has for it
+	Requests        // the cell's share of requests a second is used up
+	Fills           // its share of the link
+	Parents         // of the area caches
+	Origin          // of the head office
+	Writes          // its share of uncacheable requests
+	Open            // its share of requests open at once
+	reasons
+)
+
+var reasonNames = [reasons]string{"none", "no live cache", "heavy tenant", "requests", "fills", "area caches", "head office", "writes", "open requests"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// tenant is one customer at this router.
+type tenant struct {
+	name   string
+	weight float64
+	cell   int
+	used   use     // in parts of what the depot can do in a second
+	miss   float64 // share of its requests that are filled
+	deep   float64 // and from the head office
+	setAt  int     // list of servers for which its own caches were drawn
+	busy   bool
+}
+
+// cell is one cell in this router's depot.
+type cell struct {
+	name  string
+	spill int // -1: none
+	share float64
+	live  bool
+	names []string
+	fair  fair
+	open  int
+	// What rules refused of late, against what came.
+	asked, turned use
+}
+
+// crowded is told that rules refused a request. A few of those tell nothing; many tell that the cell is full.
+func (c *cell) crowded(now int64) {
+	if c.turned.add(now, 1) > crowdedShare*c.asked.now(now) {
+		c.fair.press(now)
+	}
+}
+
+// open is a request that the gate let in.
+type open struct {
+	tenant int32
+	cell   int32
+	kb     float64
+	fill   float64 // KB reckoned over the link
+	deep   float64 // and of the head office
+	write  bool
+}
+
+// Stats count since the start.
+type Stats struct {
+	Admitted, Spilled int64
+	Refused           [reasons]int64
+}
+
+// Module is the decision module behind its gate: rules.Router with each request confined to its tenant's cell. Without
+// a specification it is rules.Router and nothing else. It is not safe for concurrent use.
+type Module struct {
+	Stats Stats
+
+	rules   *rules.Router
+	set     rules.Settings
+	rng     *rand.Rand
+	spec    *Spec
+	keys    *table
+	tenants []tenant
+	ofKey   []int32 // tenant by line of the table
+	cells   []cell
+	spare   int // -1: none
+	list    map[string]rules.Row
+	listed  int
+	caches  []string // listed ones of the own depot
+	confine []rules.Event
+	writes  map[string]bool
+	classKb map[string]float64
+	open    map[string]open
+
+	requests, fills, parents, origin, puts *tree
+	most                                   int // requests open at once
+	counted                                int64
+}
+
+// NewModule returns a module for the settings, confining nothing until Confine is called.
+func NewModule(set rules.Settings, seed int64) (*Module, error) {
+	inner, err := rules.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{},
+		open: map[string]open{}, writes: map[string]bool{}, classKb: map[string]float64{}}
+	for i, c := range set.Classes {
+		m.writes[c.Name] = i < len(set.Extra.PassOn) && set.Extra.PassOn[i]
+		m.classKb[c.Name] = sizeAtFirst
+	}
+	return m, nil
+}
+
+// Confine puts a specification in force, or with nil none. Requests under way end where they began; what is known
+// of tenants that both have is kept. An error leaves the old one in force.
+func (m *Module) Confine(now int64, spec *Spec) error {
+	if spec == nil {
+		for i := range m.cells {
+			m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: i + 1}})
+		}
+		m.dropSets(now)
+		m.spec, m.cells, m.tenants, m.keys = nil, nil, nil, nil
+		clear(m.open)
+		return nil
+	}
+	if err := spec.Check(); err != nil {
+		return fmt.Errorf("cells.%w", err)
+	}
+	m.dropSets(now)
+	was := map[string]tenant{}
+	for _, t := range m.tenants {
+		was[t.name] = t
+	}
+	moved := map[int32]int32{}
+	old := m.tenants
+	m.spec, m.keys, m.spare = spec, newTable(spec.Keys), -1
+	byName := map[string]int32{}
+	m.tenants = make([]tenant, len(spec.Tenants))
+	for i := range spec.Tenants {
+		t := &spec.Tenants[i]
+		byName[t.Name] = int32(i)
+		m.tenants[i] = tenant{name: t.Name, weight: cmp.Or(t.Weight, 1), cell: spec.cellOf(t, m.set.Zone), miss: missAtFirst, deep: deepAtFirst}
+		if o, known := was[t.Name]; known {
+			m.tenants[i].used, m.tenants[i].miss, m.tenants[i].deep = o.used, o.miss, o.deep
+		}
+	}
+	for i, t := range old {
+		if n, known := byName[t.name]; known {
+			moved[int32(i)] = n
+		}
+	}
+	m.ofKey = make([]int32, len(spec.Keys))
+	for i, k := range spec.Keys {
+		m.ofKey[i] = byName[k.Tenant]
+	}
+	before := m.cells
+	m.cells = make([]cell, len(spec.Cells))
+	shares := make([]float64, len(spec.Cells))
+	for i, c := range spec.Cells {
+		at := func(name string) int {
+			return slices.IndexFunc(spec.Cells, func(o Cell) bool { return o.Name == name })
+		}
+		m.cells[i] = cell{name: c.Name, share: c.Share, spill: at(c.Spill), fair: fair{level: math.Inf(1)}}
+		shares[i] = c.Share
+		if c.Name == spec.Spare {
+			m.spare = i
+		}
+	}
+	cellNow := map[string]int{}
+	for i, c := range m.cells {
+		cellNow[c.name] = i
+	}
+	for call, o := range m.open { // those of cells and tenants that are no more are no longer counted
+		to, known := cellNow[before[o.cell].name]
+		who, stays := moved[o.tenant]
+		if !known || !stays {
+			delete(m.open, call)
+			continue
+		}
+		o.cell, o.tenant = int32(to), who
+		m.cells[to].open++
+		m.open[call] = o
+	}
+	for i := len(m.cells); i < len(before); i++ {
+		m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: i + 1}})
+	}
+	give := cmp.Or(spec.Budget.GiveMs, giveAtFirst) * 1000
+	routers := float64(m.routers())
+	link := spec.Budget.FillKbPerS
+	if zone := slices.Index(m.set.Zones, m.set.Zone); link == 0 && zone >= 0 && zone < len(m.set.Extra.ZoneLinkKbPerS) {
+		link = m.set.Extra.ZoneLinkKbPerS[zone]
+	}
+	m.requests = newTree(spec.Budget.RequestsPerS/routers, shares, give)
+	m.fills = newTree(link/routers, shares, give)
+	m.puts = newTree(spec.Budget.WritesPerS/routers, shares, give)
+	tier := float64(max(m.set.Siblings, 1))
+	m.parents = newTree(spec.Budget.ParentKbPerS/tier, shares, give)
+	m.origin = newTree(spec.Budget.OriginKbPerS/tier, shares, give)
+	m.most = spec.Budget.Open
+	m.divide(now)
+	return nil
+}
+
+// dropSets takes the tenants' own sets back.
+func (m *Module) dropSets(now int64) {
+	for i, t := range m.tenants {
+		if t.setAt != 0 {
+			m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: firstTenantSet + i}})
+		}
+	}
+}
+
+// routers is how many share the depot, up or not: the settings tell it, nobody else does.
+func (m *Module) routers() int {
+	zone := slices.Index(m.set.Zones, m.set.Zone)
+	if s := m.set.Extra.SeatsByZone; zone >= 0 && zone < len(s) && s[zone] > 0 {
+		return s[zone]
+	}
+	return max(m.set.Siblings, 1)
+}
+
+// Version is that of the specification in force, 0 without one.
+func (m *Module) Version() int64 {
+	if m.spec == nil {
+		return 0
+	}
+	return m.spec.Version
+}
+
+// Step takes what came in at a time and returns what to do, in order.
+func (m *Module) Step(now int64, events []rules.Event) []rules.Action {
+	if m.spec == nil {
+		for i := range events {
+			if events[i].Kind == rules.Members {
+				m.note(&events[i])
+			}
+		}
+		return m.rules.Step(now, events)
+	}
+	var acts []rules.Action
+	for i := range events {
+		ev := &events[i]
+		refused := false
+		switch ev.Kind {
+		case rules.Request:
+			if why := m.admit(now, ev); why != None {
+				m.Stats.Refused[why]++
+				acts, refused = append(acts, m.refuse(ev)), true
+			}
+		case rules.Outcome:
+			m.outcome(now, ev)
+		case rules.Gone:
+			m.over(ev.Call)
+		case rules.Members:
+			m.note(ev)
+		}
+		if refused {
+			continue
+		}
+		next := m.rules.Step(now, events[i:i+1])
+		m.answered(now, next)
+		if ev.Kind == rules.Members {
+			m.divide(now)
+		}
+		if acts == nil {
+			acts = next
+		} else {
+			acts = append(acts, next...)
+		}
+	}
+	return acts
+}
+
+// note keeps the own depot's part of the list of servers.
+func (m *Module) note(ev *rules.Event) {
+	if ev.Mode == "unavailable" {
+		return
+	}
+	if ev.Mode != "update" {
+		clear(m.list)
+	}
+	for _, row := range ev.Rows {
+		kind := slices.Index(m.set.Kinds, row.Kind)
+		if row.Status == "deregistered" || row.Zone != m.set.Zone || kind == m.set.Extra.MasterKind || kind == m.set.Extra.ShieldKind {
+			delete(m.list, row.Node)
+		} else {
+			m.list[row.Node] = row
+		}
+	}
+	m.listed++
+}
+
+// divide tells rules which caches each cell has. Draining ones keep their place until they are gone, so that a cell is
+// divided anew once and not twice when one is replaced.
+func (m *Module) divide(now int64) {
+	m.caches = m.caches[:0]
+	for name := range m.list {
+		m.caches = append(m.caches, name)
+	}
+	slices.Sort(m.caches)
+	m.confine = m.confine[:0]
+	for i, names := range divide(m.spec.Cells, m.caches) {
+		c := &m.cells[i]
+		c.live = slices.ContainsFunc(names, func(name string) bool { return m.list[name].Status == "healthy" })
+		if m.spec.Scheme == Shuffle { // the account's set is all caches: each tenant has its own
+			names, c.live = m.caches, c.live || slices.ContainsFunc(m.caches, func(name string) bool { return m.list[name].Status == "healthy" })
+		}
+		if slices.Equal(c.names, names) && len(names) > 0 {
+			continue
+		}
+		c.names = slices.Clone(names)
+		m.confine = append(m.confine, rules.Event{Kind: rules.Confine, Set: i + 1, Account: i + 1, Share: c.share, Names: c.names})
+	}
+	if len(m.confine) > 0 {
+		m.rules.Step(now, m.confine)
+	}
+}
+
+// setOf is the set of a tenant's caches, drawn when first asked for.
+func (m *Module) setOf(now int64, who int, home int) int {
+	t := &m.tenants[who]
+	if m.spec.Scheme != Shuffle && m.spec.Scheme != Nested {
+		return home + 1
+	}
+	if home != t.cell { // a guest: it uses the neighbour's caches as they are
+		return home + 1
+	}
+	if t.setAt != m.listed+1 {
+		t.setAt = m.listed + 1
+		from := m.cells[home].names
+		if m.spec.Scheme == Shuffle {
+			from = m.caches
+		}
+		m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: firstTenantSet + who, Account: t.cell + 1, Share: m.cells[t.cell].share,
+			Names: draw(t.name, from, m.spec.Width)}})
+	}
+	return firstTenantSet + who
+}
+
+// CachesOf names the caches that a tenant's requests go to at present; none while nothing is confined.
+func (m *Module) CachesOf(tenant int) []string {
+	switch {
+	case m.spec == nil || tenant < 0 || tenant >= len(m.tenants):
+		return nil
+	case m.spec.Scheme == Shuffle:
+		return draw(m.tenants[tenant].name, m.caches, m.spec.Width)
+	case m.spec.Scheme == Nested:
+		return draw(m.tenants[tenant].name, m.cells[m.tenants[tenant].cell].names, m.spec.Width)
+	}
+	return m.cells[m.tenants[tenant].cell].names
+}
+
+// Tenant tells whose request it is, by its place in the specification.
+func (m *Module) Tenant(ev *rules.Event) int {
+	return int(m.ofKey[m.keys.find(int(ev.Group), ev.Class, ev.Object, ev.Tenant)])
+}
+
+// admit decides whether a request may try at all, and where. It costs no allocation.
+func (m *Module) admit(now int64, ev *rules.Event) Reason {
+	m.count(now)
+	who := m.Tenant(ev)
+	t := &m.tenants[who]
+	home := t.cell
+	if !m.cells[home].live {
+		home = m.cells[home].spill
+		if home < 0 || !m.cells[home].live {
+			return NoCache
+		}
+		m.Stats.Spilled++
+	}
+	c := &m.cells[home]
+	c.asked.add(now, 1)
+	write := m.writes[ev.Class]
+	kb := ev.SizeKb
+	if kb <= 0 {
+		kb = m.classKb[ev.Class]
+	}
+	fill, deep := kb*t.miss, kb*t.deep
+	if write {
+		fill, deep = 0, 0
+	}
+	// What it takes of the depot, in seconds of the thing it takes most of.
+	cost := 1e-6
+	for _, of := range [...]struct {
+		t      *tree
+		amount float64
+	}{{m.requests, 1}, {m.fills, fill}, {m.parents, fill}, {m.origin, deep}} {
+		if of.t.rate > 0 {
+			cost = max(cost, of.amount/(of.t.rate*1e6))
+		}
+	}
+	used := t.used.add(now, cost) / t.weight
+	t.busy = true
+	c.fair.all.add(now, cost)
+	c.fair.see(now, used)
+	over := c.fair.over(now, used)
+	if over && !write {
+		return Heavy
+	}
+	why := None
+	if write {
+		m.puts.fill(now)
+		if !m.puts.mayTake(home, !over) {
+			why = Writes
+		}
+	} else {
+		m.requests.fill(now)
+		m.fills.fill(now)
+		m.parents.fill(now)
+		m.origin.fill(now)
+		quiet := used < c.fair.all.now(now)/max(c.fair.tenants, 1)
+		switch {
+		case !m.requests.mayTake(home, quiet):
+			why = Requests
+		case !m.fills.mayTake(home, quiet):
+			why = Fills
+		case !m.parents.mayTake(home, quiet):
+			why = Parents
+		case !m.origin.mayTake(home, quiet):
+			why = Origin
+		}
+	}
+	if why == None && m.most > 0 && !m.mayOpen(home) {
+		why = Open
+	}
+	if why != None {
+		c.fair.press(now)
+		return why
+	}
+	if write {
+		m.puts.take(home, 1)
+	} else {
+		m.requests.take(home, 1)
+		m.fills.take(home, fill)
+		m.parents.take(home, fill)
+		m.origin.take(home, deep)
+	}
+	ev.Set = m.setOf(now, who, home)
+	if m.spare >= 0 && home != m.spare {
+		ev.Spill = m.spare + 1
+	}
+	c.open++
+	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, write: write}
+	m.Stats.Admitted++
+	return None
+}
+
+// mayOpen keeps a place for each cell's share of the requests open at once.
+func (m *Module) mayOpen(home int) bool {
+	c := &m.cells[home]
+	if float64(c.open) < c.share*float64(m.most) {
+		return true
+	}
+	kept := 0.0
+	for i := range m.cells {
+		if o := &m.cells[i]; i != home && o.fair.tenants > 0 {
+			kept += max(o.share*float64(m.most)-float64(o.open), 0)
+		}
+	}
+	return float64(len(m.open))+kept < mostOpenPart*float64(m.most)
+}
+
+// count finds now and then how many tenants of each cell have asked of late.
+func (m *Module) count(now int64) {
+	if now-m.counted < countEvery && m.counted != 0 {
+		return
+	}
+	m.counted = now
+	for i := range m.cells {
+		m.cells[i].fair.tenants = 0
+	}
+	for i := range m.tenants {
+		t := &m.tenants[i]
+		if t.busy && now-t.used.at > busyWithin {
+			t.busy = false
+		}
+		if t.busy {
+			m.cells[t.cell].fair.tenants++
+		}
+	}
+}
+
+// refuse is the answer at the gate. Whoever is over budget is told to stay away for long, at random so that they do
+// not come back together.
+func (m *Module) refuse(ev *rules.Event) rules.Action {
+	most := float64(m.set.Permissions.MaxRetryAfter)
+	return rules.Action{Kind: rules.Refuse, Call: ev.Call, RetryAfter: int64(most * (waitLeast + (1-waitLeast)*m.rng.Float64()))}
+}
+
+// outcome corrects what was reckoned once it is known whether there was a fill.
+func (m *Module) outcome(now int64, ev *rules.Event) {
+	o, known := m.open[ev.Call]
+	if !known {
+		return
+	}
+	t := &m.tenants[o.tenant]
+	if ev.Code == rules.Done && !o.write {
+		missed, deep := 0.0, 0.0
+		if ev.Note == 2 || ev.Note == 3 {
+			missed = 1
+		}
+		if ev.Note == 3 {
+			deep = 1
+		}
+		t.miss += missStep * (missed - t.miss)
+		t.deep += missStep * (deep - t.deep)
+		m.fills.settle(int(o.cell), o.kb*missed-o.fill)
+		m.parents.settle(int(o.cell), o.kb*missed-o.fill)
+		m.origin.settle(int(o.cell), o.kb*deep-o.deep)
+	}
+	if ev.Final {
+		m.over(ev.Call)
+	}
+}
+
+// answered looks at what rules decided: final answers, and refusals that show a crowded cell.
+func (m *Module) answered(now int64, acts []rules.Action) {
+	for i := range acts {
+		switch a := &acts[i]; a.Kind {
+		case rules.Refuse:
+			if o, known := m.open[a.Call]; known {
+				m.cells[o.cell].crowded(now)
+				m.over(a.Call)
+			}
+		case rules.Fail:
+			m.over(a.Call)
+		}
+	}
+}
+
+func (m *Module) over(call string) {
+	if o, known := m.open[call]; known {
+		m.cells[o.cell].open--
+		delete(m.open, call)
+	}
+}
--- /dev/null
+++ b/core/cells/members.go
@@ -0,0 +1,137 @@
+package cells
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// affinity is a number between 0 and 1 that cache and cell (or tenant) share whoever reckons it.
+func affinity(a, b string) float64 {
+	var h xxhash.Digest
+	h.Reset()
+	h.WriteString(a)
+	h.Write([]byte{0})
+	h.WriteString(b)
+	return (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
+}
+
+// quotas shares n caches among cells by largest remainder. While there are enough, each cell has one at least; where
+// there are not, those with the greatest shares have one each, the first named of equal ones.
+func quotas(cells []Cell, n int) []int {
+	q := make([]int, len(cells))
+	order := make([]int, len(cells))
+	total := 0.0
+	for i, c := range cells {
+		order[i] = i
+		total += c.Share
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(cells[b].Share, cells[a].Share) })
+	if n <= len(cells) {
+		for _, i := range order[:n] {
+			q[i] = 1
+		}
+		return q
+	}
+	left := n
+	rest := make([]float64, len(cells))
+	for i, c := range cells {
+		want := float64(n) * c.Share / total
+		q[i] = max(int(want), 1)
+		rest[i] = want - float64(q[i])
+		left -= q[i]
+	}
+	for ; left > 0; left-- {
+		i := slices.Index(rest, slices.Max(rest))
+		q[i]++
+		rest[i]--
+	}
+	for ; left < 0; left++ { // the one cache at least of small cells is taken where most is over
+		worst, over := -1, math.Inf(1)
+		for i := range q {
+			if q[i] > 1 && rest[i] < over {
+				worst, over = i, rest[i]
+			}
+		}
+		q[worst]--
+		rest[worst]++
+	}
+	return q
+}
+
+// divide puts each cache into one cell: pairs of cell and cache in the order of their affinity, the greatest first, as
+// long as the cell has room (the stable matching where both sides prefer by affinity). Whoever has the same list
+// reckons the same, and a cache that is replaced moves little besides: see docs/cells.md for how much.
+func divide(cells []Cell, caches []string) [][]string {
+	type pair struct {
+		cell, cache int32
+		a           float64
+	}
+	pairs := make([]pair, 0, len(cells)*len(caches))
+	for i, c := range cells {
+		for j, name := range caches {
+			pairs = append(pairs, pair{int32(i), int32(j), affinity(c.Name, name)})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b pair) int {
+		return cmp.Or(cmp.Compare(b.a, a.a), cmp.Compare(a.cell, b.cell), cmp.Compare(a.cache, b.cache))
+	})
+	room := quotas(cells, len(caches))
+	in := make([][]string, len(cells))
+	placed := make([]bool, len(caches))
+	for _, p := range pairs {
+		if placed[p.cache] || room[p.cell] == 0 {
+			continue
+		}
+		placed[p.cache] = true
+		room[p.cell]--
+		in[p.cell] = append(in[p.cell], caches[p.cache])
+	}
+	for _, names := range in {
+		slices.Sort(names)
+	}
+	return in
+}
+
+// plainDivide lets each cache alone take the cell of its greatest affinity weighted by share: nothing moves but the
+// cache replaced, and cells are uneven or empty. It stands here to be weighed against divide.
+func plainDivide(cells []Cell, caches []string) [][]string {
+	in := make([][]string, len(cells))
+	for _, name := range caches {
+		best, least := 0, math.Inf(1)
+		for i, c := range cells {
+			if s := -math.Log(affinity(c.Name, name)) / c.Share; s < least {
+				best, least = i, s
+			}
+		}
+		in[best] = append(in[best], name)
+	}
+	return in
+}
+
+// draw gives a tenant its own caches: the width of greatest affinity.
+func draw(tenant string, caches []string, width int) []string {
+	if len(caches) <= width {
+		return caches
+	}
+	type scored struct {
+		name string
+		a    float64
+	}
+	best := make([]scored, 0, width+1)
+	for _, name := range caches {
+		s := scored{name, affinity(tenant, name)}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.a, a.a) })
+		if at < width {
+			best = slices.Insert(best, at, s)[:min(len(best)+1, width)]
+		}
+	}
+	names := make([]string, len(best))
+	for i, s := range best {
+		names[i] = s.name
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/emulator/config.go
@@ -0,0 +1,248 @@
+// Package emulator is a model of a deployment in virtual time: clients, links, depot caches, area caches, the head
+// office, the list of servers, and routers with the real decision modules inside. One World runs on one goroutine; the
+// same Config gives the same Result to the bit, wherever and however often it runs.
+//
+// It counts broken rules itself, from what happened in its world, never from what a router says of itself.
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"spantack/core/cells"
+	"spantack/rules"
+)
+
+// Config describes a world and its day. Times are seconds or, where the name says so, milliseconds.
+type Config struct {
+	Seed uint64 `json:"seed"`
+
+	Depots   int `json:"depots"`
+	Routers  int `json:"routers"`  // of each depot
+	Caches   int `json:"caches"`   // of each depot
+	Parents  int `json:"parents"`  // area caches, in all
+	Tenants  int `json:"tenants"`  //
+	Objects  int `json:"objects"`  // of each tenant
+	Channels int `json:"channels"` // what a cache sends at full pace at once
+
+	RateS      float64 `json:"rateS"`      // requests a second, all depots
+	TenantSkew float64 `json:"tenantSkew"` // Zipf exponent of tenants
+	ObjectSkew float64 `json:"objectSkew"` // and of a tenant's objects
+	OnceShare  float64 `json:"onceShare"`  // requests for an object that nobody asks for again
+	DriftS     float64 `json:"driftS"`     // time in which popularity moves on by one object
+	KeepS      float64 `json:"keepS"`      // a cache holds what it sends in this time at full pace
+	LinkRoom   float64 `json:"linkRoom"`   // link into a depot, of the fills on a calm day
+	ParentRoom float64 `json:"parentRoom"` // the same of all area caches together
+	OriginRoom float64 `json:"originRoom"` // the same of the head office
+	MissShare  float64 `json:"missShare"`  // misses for which those were sized
+	RouterUs   float64 `json:"routerUs"`   // time of a router's core for a request; a refusal at the gate takes a quarter
+
+	WarmS float64 `json:"warmS"` // before counting begins
+	DayS  float64 `json:"dayS"`
+
+	Cells  *cells.Spec `json:"cells,omitempty"`
+	Group  []int       `json:"-"`               // cell of each tenant for counting, also where none are in force
+	Limit  float64     `json:"limit,omitempty"` // plain rate limit of each tenant, in multiples of its usual rate
+	Flood  *Flood      `json:"flood,omitempty"`
+	Poison *Poison     `json:"poison,omitempty"`
+	Faults []Fault     `json:"faults,omitempty"`
+}
+
+// Flood is one tenant at a multiple of its load for a while.
+type Flood struct {
+	Tenant int     `json:"tenant"`
+	Times  float64 `json:"times"`
+	Kind   string  `json:"kind"` // "catalogue", "unique" or "huge"
+	FromS  float64 `json:"fromS"`
+	ForS   float64 `json:"forS"`
+	HugeKb float64 `json:"hugeKb,omitempty"`
+}
+
+// Poison makes all answers to one tenant's requests fail for a while.
+type Poison struct {
+	Tenant int     `json:"tenant"`
+	Kind   string  `json:"kind"` // "err": caches answer ERR; "spoilt": what they send can't be read; "root": head office fails
+	FromS  float64 `json:"fromS"`
+	ForS   float64 `json:"forS"`
+}
+
+// Fault is something that happens to machines.
+type Fault struct {
+	Kind  string  `json:"kind"` // "router", "cache", "depot", "deploy" or "parent"
+	Depot int     `json:"depot"`
+	Which int     `json:"which"`
+	AtS   float64 `json:"atS"`
+	ForS  float64 `json:"forS"` // how long it is away; of a deploy, how long that takes in all
+	Part  float64 `json:"part"` // of a deploy: the part of the caches replaced
+}
+
+// Check reports the first field that can't be used.
+func (c *Config) Check() error {
+	for _, f := range []struct {
+		name        string
+		value       float64
+		least, most float64
+	}{
+		{"depots", float64(c.Depots), 1, 256}, {"routers", float64(c.Routers), 1, 64}, {"caches", float64(c.Caches), 1, 1024},
+		{"parents", float64(c.Parents), 1, 256}, {"tenants", float64(c.Tenants), 1, 65536}, {"objects", float64(c.Objects), 1, 1e6},
+		{"channels", float64(c.Channels), 1, 1000}, {"rateS", c.RateS, 1, 1e6}, {"tenantSkew", c.TenantSkew, 0, 3},
+		{"objectSkew", c.ObjectSkew, 0, 3}, {"onceShare", c.OnceShare, 0, 1}, {"driftS", c.DriftS, 0.001, 1e9}, {"keepS", c.KeepS, 0.01, 1e4},
+		{"linkRoom", c.LinkRoom, 0.1, 100}, {"parentRoom", c.ParentRoom, 0.1, 100}, {"originRoom", c.OriginRoom, 0.1, 100},
+		{"missShare", c.MissShare, 0.001, 1}, {"routerUs", c.RouterUs, 0, 1e5}, {"warmS", c.WarmS, 0, 3600}, {"dayS", c.DayS, 0.1, 3600},
+	} {
+		if !(f.value >= f.least && f.value <= f.most) {
+			return fmt.Errorf("%s: %v is not %v to %v", f.name, f.value, f.least, f.most)
+		}
+	}
+	if c.Cells != nil {
+		if err := c.Cells.Check(); err != nil {
+			return fmt.Errorf("cells.%w", err)
+		}
+	}
+	if c.Flood != nil && (c.Flood.Tenant < 0 || c.Flood.Tenant >= c.Tenants) {
+		return fmt.Errorf("flood.tenant: %d is no tenant", c.Flood.Tenant)
+	}
+	if c.Poison != nil && (c.Poison.Tenant < 0 || c.Poison.Tenant >= c.Tenants) {
+		return fmt.Errorf("poison.tenant: %d is no tenant", c.Poison.Tenant)
+	}
+	if c.Group != nil && len(c.Group) != c.Tenants {
+		return errors.New("group: one for each tenant")
+	}
+	for i, f := range c.Faults {
+		if f.Depot < 0 || f.Depot >= c.Depots || f.Which < 0 {
+			return fmt.Errorf("faults[%d]: there is no such machine", i)
+		}
+	}
+	return nil
+}
+
+// The classes, and what the model takes of each. Sizes are KB, spread log-normally.
+const (
+	video = iota
+	catalogue
+	report
+	classes
+)
+
+var classOf = [classes]struct {
+	name           string
+	share          float64 // of requests
+	kb, sigma      float64
+	partsLeast     int
+	partsMost      int
+	promise, allow float64 // ms
+	stretch        float64
+	gain, late     float64
+}{
+	{"screen-video", 0.50, 370, 0.5, 9, 20, 600, 6000, 1.6, 2, 0.15},
+	{"catalogue", 0.47, 60, 0.6, 1, 1, 400, 3000, 2, 1, 0.2},
+	{"stock-report", 0.03, 20, 0.2, 1, 1, 600, 3000, 2, 3, 0},
+}
+
+const (
+	us      = int64(1)
+	ms      = 1000 * us
+	sec     = 1000 * ms
+	paceKbS = 1000.0 // of one answer
+
+	clientWay = 7 * ms
+	cacheWay  = 400 * us
+	hubWay    = 9 * ms
+	originWay = 12 * ms
+	originAsk = 30 * ms // what the head office takes for any request
+
+	freshUs = 20 * sec // of the catalogue
+	graceUs = 10 * sec
+
+	partGap = 590 * ms
+
+	cacheColdFrom  = 0.32
+	cacheColdFor   = 11 * sec
+	parentColdFrom = 0.1
+	parentColdFor  = 17 * sec
+	fallSpan       = 3 * sec
+	cacheFall      = 3.0
+	parentFall     = 2.0
+	backAfter      = 3 * sec // a server pushed over is up again
+	drainBinds     = 500 * ms
+	frontSees      = 2 * sec // until which clients are sent to a dead router
+	listTells      = 1200 * ms
+)
+
+// meanKb of a request on a calm day, videos counted by the part.
+func meanKb() (sum float64) {
+	for _, c := range classOf {
+		sum += c.share * c.kb
+	}
+	return sum
+}
+
+// settings are what a router of the depot is told.
+func (c *Config) settings(depot int) rules.Settings {
+	set := rules.Settings{
+		Discovery: "automatic",
+		Extra: rules.Extra{HeedWithin: 300 * ms, MasterKind: 2, ShieldKind: 1, NotesGiven: "all", PaceKbPerS: paceKbS,
+			ParentFloor: parentColdFrom, ParentWarmsIn: parentColdFor, PurgeTakes: 6 * sec, Straight: true, UpperFallMultiple: parentFall},
+		Guarantees: rules.Guarantees{AskWithin: 10 * sec, Cold: cacheColdFor, ColdFrom: cacheColdFrom, Fall: fallSpan,
+			GraceToAnswer: 8 * ms, StopSendingWithin: drainBinds, TipMultiple: cacheFall},
+		Kinds:        []string{"small-box", "area", "head-office"},
+		Permissions:  rules.Permissions{Cancelling: true, DialTimeout: 400 * ms, MaxAttempts: 8, MaxRetryAfter: sec, RetryAfter: true},
+		Siblings:     c.Routers * c.Depots,
+		WeightSource: "nominal",
+		Zone:         zoneName(depot),
+		Zones:        []string{"hub"},
+	}
+	for i, cl := range classOf {
+		effect := "read_like"
+		if i == report {
+			effect = "idempotency_key"
+		}
+		set.Classes = append(set.Classes, rules.Class{Name: cl.name, AimStretch: cl.stretch, Deadline: int64(cl.allow) * ms,
+			Promise: int64(cl.promise) * ms, Gain: cl.gain, LateWorth: cl.late, Group: "all", Idempotency: effect, MemorySpan: 6 * sec})
+		set.Extra.PassOn = append(set.Extra.PassOn, i == report)
+		set.Extra.MultiPart = append(set.Extra.MultiPart, i == video)
+	}
+	set.Extra.FreshFor, set.Extra.GraceFor = []int64{0, freshUs, 0}, []int64{0, graceUs, 0}
+	set.Extra.StaleEarns = []float64{1, 0.7, 1}
+	set.Extra.SeatsByZone = []int{0}
+	set.Extra.ZoneLinkKbPerS = []float64{0}
+	for d := range c.Depots {
+		set.Zones = append(set.Zones, zoneName(d))
+		set.Extra.SeatsByZone = append(set.Extra.SeatsByZone, c.Routers)
+		set.Extra.ZoneLinkKbPerS = append(set.Extra.ZoneLinkKbPerS, c.linkKbS())
+	}
+	return set
+}
+
+func zoneName(depot int) string { return fmt.Sprintf("depot-%02d", depot) }
+
+// fillKbS is what all depots fill on a calm day.
+func (c *Config) fillKbS() float64 { return c.RateS * meanKb() * c.MissShare }
+
+func (c *Config) linkKbS() float64 {
+	return max(c.LinkRoom*c.fillKbS()/float64(c.Depots), 4*paceKbS)
+}
+
+func (c *Config) parentChannels() float64 {
+	return math.Ceil(max(c.ParentRoom*c.fillKbS()/float64(c.Parents)/paceKbS, 4))
+}
+
+func (c *Config) originKbS() float64 { return max(c.OriginRoom*c.fillKbS()*0.35, 12*paceKbS) }
+
+// TenantShares is each tenant's part of the requests.
+func (c *Config) TenantShares() []float64 {
+	shares := make([]float64, c.Tenants)
+	sum := 0.0
+	for i := range shares {
+		shares[i] = math.Pow(float64(i+1), -c.TenantSkew)
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	return shares
+}
+
+// TenantPrefix is how the objects of a tenant begin.
+func TenantPrefix(tenant int) string { return fmt.Sprintf("%04x", tenant) }
--- /dev/null
+++ b/emulator/prefill.go
@@ -0,0 +1,119 @@
+package emulator
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+)
+
+// prefill puts into each store what a long day before would have left there: parts by how often they are asked for, each
+// at the server that a pick by hash alone gives it, until the stores are full. Without it a day would have to be as
+// long as the stores are large before anything could be measured.
+func (w *World) prefill() {
+	type popular struct {
+		tenant, class, rank int32
+		rate                float64 // requests for each of its parts
+	}
+	var all []popular
+	for t, share := range w.cfg.TenantShares() {
+		before := 0.0
+		for rank, cum := range w.objectCDF {
+			p := cum - before
+			before = cum
+			for class := video; class <= catalogue; class++ {
+				c := &classOf[class]
+				all = append(all, popular{int32(t), int32(class), int32(rank), share * p * c.share * 2 / float64(c.partsLeast+c.partsMost)})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b popular) int { return cmp.Compare(b.rate, a.rate) })
+	room := 0.0
+	for _, id := range w.caches[0] {
+		room += w.servers[id].store.room
+	}
+	left := make([]float64, w.cfg.Depots)
+	for d := range left {
+		left[d] = room
+	}
+	above := 0.0
+	for i := range w.cfg.Parents {
+		above += w.servers[1+i].store.room
+	}
+	parents := make([]int32, w.cfg.Parents)
+	for i := range parents {
+		parents[i] = int32(1 + i)
+	}
+	type place struct {
+		id   int32
+		key  uint64
+		kb   float64
+		made int64
+	}
+	var puts []place
+	homes := make([][]int32, w.cfg.Depots)
+	for _, p := range all {
+		if left[0] <= 0 && above <= 0 {
+			break
+		}
+		key := uint64(p.tenant)<<48 | uint64(p.class)<<44 | uint64(p.rank)
+		object := objectName(int(p.tenant), key)
+		objectState := keyState(object)
+		for d := range homes {
+			homes[d] = homes[d][:0]
+			for _, c := range w.routers[d*w.cfg.Routers].module.CachesOf(int(p.tenant)) {
+				homes[d] = append(homes[d], w.byName(c))
+			}
+			if len(homes[d]) == 0 {
+				homes[d] = slices.Clone(w.caches[d])
+			}
+		}
+		made := int64(0)
+		if p.class == catalogue {
+			made = -int64(mix(key) % uint64(freshUs*8/10))
+		}
+		for part := range int32(classOf[p.class].partsMost) {
+			kb := sizeOf(key, part, int(p.class))
+			at := key ^ uint64(part)<<36
+			if above > 0 && left[0] <= 0 { // they are asked only for what depots miss
+				puts = append(puts, place{w.first(parents, objectState), at, kb, made})
+				above -= kb
+			}
+			state := keyState(object + "/" + strconv.Itoa(int(part)))
+			for d := range left {
+				if left[d] > 0 {
+					puts = append(puts, place{w.first(homes[d], state), at, kb, made})
+					left[d] -= kb
+				}
+			}
+		}
+	}
+	for _, p := range slices.Backward(puts) { // the most popular are used last
+		w.servers[p.id].store.put(p.key, p.kb, p.made)
+	}
+}
+
+// keyState is FNV-1a over a key and the byte that ends it: what all servers' hashes of the key begin with.
+func keyState(key string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(key) {
+		h = (h ^ uint64(key[i])) * 1099511628211
+	}
+	return h * 1099511628211
+}
+
+// first is the server that a hash of key and name puts first, weights alike.
+func (w *World) first(ids []int32, state uint64) int32 {
+	best, top := ids[0], uint64(0)
+	for _, id := range ids {
+		x, name := state, w.servers[id].name
+		for i := range len(name) {
+			x = (x ^ uint64(name[i])) * 1099511628211
+		}
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		x = (x ^ x>>27) * 0x94d049bb133111eb
+		if x = (x ^ x>>31) >> 11; x > top {
+			best, top = id, x
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/emulator/spec.go
@@ -0,0 +1,43 @@
+package emulator
+
+import (
+	"fmt"
+
+	"spantack/core/cells"
+)
+
+// budgetRoom is the part of a thing's capacity that is shared out: what is over it takes up bursts.
+const budgetRoom = 0.9
+
+// Spec is an assignment of a world's tenants to n cells of equal shares, planned from their parts of the load, with the
+// budgets that the world's links bear; and the cell of each tenant.
+func Spec(cfg *Config, n int) (*cells.Spec, []int) {
+	shares := make([]float64, n)
+	spec := &cells.Spec{Version: 1, Scheme: cells.Fixed}
+	for i := range n {
+		shares[i] = 1 / float64(n)
+		spec.Cells = append(spec.Cells, cells.Cell{Name: fmt.Sprintf("cell-%02d", i), Share: shares[i]})
+	}
+	var demand []cells.Demand
+	for i, share := range cfg.TenantShares() {
+		demand = append(demand, cells.Demand{Name: fmt.Sprintf("tenant-%05d", i), Loads: cells.Loads{share}, Worth: share, Now: -1})
+	}
+	plan, err := cells.MakePlan(demand, cells.Aim{Shares: shares, MostMoves: -1, Seed: cfg.Seed})
+	if err != nil {
+		panic(err) // no bound on worth was asked for: there is always a plan
+	}
+	for i, d := range demand {
+		spec.Tenants = append(spec.Tenants, cells.Tenant{Name: d.Name, Cell: spec.Cells[plan.Cell[i]].Name})
+		spec.Keys = append(spec.Keys, cells.Key{Prefix: TenantPrefix(i), Tenant: d.Name})
+	}
+	spec.Keys = append(spec.Keys, cells.Key{Tenant: demand[len(demand)-1].Name})
+	spec.Budget = cells.Budget{
+		RequestsPerS: budgetRoom * 1e6 / max(cfg.RouterUs, 1) * float64(cfg.Routers),
+		FillKbPerS:   budgetRoom * cfg.linkKbS(),
+		ParentKbPerS: budgetRoom * cfg.parentChannels() * float64(cfg.Parents) * paceKbS,
+		OriginKbPerS: budgetRoom * cfg.originKbS(),
+		Open:         2000,
+		WritesPerS:   4 * cfg.RateS / float64(cfg.Depots) * classOf[report].share,
+	}
+	return spec, plan.Cell
+}
--- a/rules/breakers.go
+++ b/rules/breakers.go
@@ -78,11 +78,12 @@
 			n.answered += weight
 			n.answers.add(r.now, rateSpan, weight)
 		}
-		until := n.brk.until
-		n.brk.record(r.now, failed, slices.Contains(a.trials, n), weight, share,
+		brk := n.gate(q.account)
+		until := brk.until
+		brk.record(r.now, failed, slices.Contains(a.trials, brk), weight, share,
 			int64(base*(1+breakerSpread*r.rng.Float64())))
-		if n.brk.until != until {
-			r.findOdd()
+		if brk.until != until {
+			r.turned++
 		}
 	}
 	write := at(r.set.Extra.PassOn, q.class)
--- a/rules/limits.go
+++ b/rules/limits.go
@@ -22,6 +22,7 @@
 	limitTarget     = 0.5       // share of the aim less the sending time past which an answer cuts a limit
 	limitTargetMean = 0.8       // the same where sizes are not told: a large part is late by nature
 	denseReserve    = 0.5       // share of a limit kept for what earns most for its sending time
+	shareKept       = 1_000_000 // us over which what an account keeps free of its share is forgotten
 	meanStep        = 0.02      // step of the mean sending times
 )
 
@@ -35,7 +36,28 @@
 	if q.over {
 		earns *= r.set.OverShareWorth
 	}
-	return float64(n.out)+r.rng.Float64() < n.limit*(1-denseReserve*(1-earns))
+	limit, luck := n.limit*(1-denseReserve*(1-earns)), r.rng.Float64()
+	if q.account == 0 || n.role == roleCache {
+		return float64(n.out)+luck < limit
+	}
+	// An account's share is its own; past it, it borrows what others leave that had work of late: their share
+	// of those that have more out for it than this one has, of the rest all they had.
+	out, share := float64(n.stake(q.account).out), r.shares[q.account]
+	if out+luck < share*limit {
+		return true
+	}
+	kept := 0.0
+	for account, s := range n.stakes {
+		most := limit
+		if account == 0 || account == q.account {
+			continue
+		}
+		if float64(s.out)*share > out*r.shares[account] {
+			most *= r.shares[account]
+		}
+		kept += s.keeps(r.now, most)
+	}
+	return float64(n.out)+kept+luck < limit
 }
 
 // adapt moves limits in use: up with answers in time, down when one is late or turned away.
--- a/rules/members.go
+++ b/rules/members.go
@@ -29,7 +29,7 @@
 			r.nodes[row.Node] = n
 		}
 		if row.CameUp != n.cameUp { // a new process: what was held against the old one is void
-			n.cameUp, n.brk, n.spent, n.limit, n.cutAt = row.CameUp, breaker{}, nil, 0, 0
+			n.renew(row.CameUp)
 		}
 		n.usable, n.gone = row.Status == "healthy", row.Status == "deregistered"
 		if row.Status == "deregistered" {
@@ -71,19 +71,19 @@
 			r.origin = n
 		}
 	}
-	r.findOdd()
-	r.cacheRank, r.upRank = newRanks(r.caches, r.weighs), newRanks(r.parents, r.weighs)
+	r.listed++
+	r.upRank = newRanks(r.parents, r.weighs)
 	if ev.Mode == "restored" && r.set.Discovery == "subscribe" {
 		r.act(Action{Kind: Subscribe, On: true})
 	}
 }
 
 // findOdd notes the caches whose use must be looked into: a breaker not closed, or a late start.
-func (r *Router) findOdd() {
-	r.odd = r.odd[:0]
-	for _, n := range r.caches {
+func (r *Router) findOdd(p *pool) {
+	p.odd = p.odd[:0]
+	for _, n := range p.caches {
 		if _, _, cold := r.warmth(n); cold || n.brk.until != 0 {
-			r.odd = append(r.odd, n)
+			p.odd = append(p.odd, n)
 		}
 	}
 }
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -118,15 +118,15 @@
 		return
 	}
 	q.out = false
-	q.cur.node.out--
-	for _, n := range q.cur.trials { // a trial that tells nothing is given back
-		n.brk.trial = false
+	r.occupy(q.cur.node, q.account, -1)
+	for _, b := range q.cur.trials { // a trial that tells nothing is given back
+		b.trial = false
 	}
 	if q.cur.fills {
-		q.cur.source.out--
+		r.occupy(q.cur.source, q.account, -1)
 	}
 	if q.cur.deep {
-		r.behind.out--
+		r.occupy(&r.behind, q.account, -1)
 	}
 }
 
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -26,7 +26,10 @@
 	full := false
 	if a.node == nil || !r.usableFor(q, a.node) {
 		q.held = false
-		a.node, full = r.pickCache(q)
+		a.node, full = r.pickCache(q, q.Set)
+		if a.node == nil && q.Spill != 0 {
+			a.node, _ = r.pickCache(q, q.Spill)
+		}
 	}
 	if a.node == nil {
 		r.without(q, full)
@@ -45,23 +48,24 @@
 
 // usableFor reports that a cache may get q. While all of the zone are open, those that failed in part may.
 func (r *Router) usableFor(q *request, n *node) bool {
-	shut := n.brk.open(r.now) && (n.brk.dead || !r.panic)
+	shut := n.brk.open(r.now) && (n.brk.dead || !r.poolOf(q.Set).panic)
 	return n.usable && !shut && !slices.Contains(q.tried, n) && r.sameGroup(q, n) &&
 		r.affordable(n, r.sendMean[q.class])
 }
 
 // pickCache takes the first usable cache, of two when hot; full: one was passed over for its limit alone.
-func (r *Router) pickCache(q *request) (pick *node, full bool) {
-	r.panic = !slices.ContainsFunc(r.caches, func(n *node) bool { return !n.brk.open(r.now) })
+func (r *Router) pickCache(q *request, set int) (pick *node, full bool) {
+	p := r.poolOf(set)
+	p.panic = !slices.ContainsFunc(p.caches, func(n *node) bool { return !n.brk.open(r.now) })
 	seen := float64(max(r.recentN, recentRequests/8))
-	hot := float64(r.recent[q.Object]*len(r.caches)) > hotShare*seen
-	r.cacheRank.start(q.part)
+	hot := float64(r.recent[q.Object]*len(p.caches)) > hotShare*seen
+	p.rank.start(q.part)
 	var fit [2]*node
 	found, wanted, drawn := 0, 1, 0
 	if hot {
 		wanted = 2
 	}
-	for n := r.cacheRank.next(); n != nil; n = r.cacheRank.next() {
+	for n := p.rank.next(); n != nil; n = p.rank.next() {
 		if !r.usableFor(q, n) {
 			continue
 		}
@@ -73,7 +77,7 @@
 		if found < len(fit) {
 			fit[found] = n
 		}
-		if found++; found == wanted && r.skipDraws(q, drawn) {
+		if found++; found == wanted && r.skipDraws(p, q, drawn) {
 			break
 		}
 	}
@@ -86,10 +90,10 @@
 // skipDraws spares looking at the caches ranked below those found. Each usable one has its draw in room all
 // the same, so that a day plays as if all had been looked at; false if one needs a draw of its own for that.
 // drawn counts those made already.
-func (r *Router) skipDraws(q *request, drawn int) bool {
-	plain, look := len(r.caches)-len(r.odd), r.odd
+func (r *Router) skipDraws(p *pool, q *request, drawn int) bool {
+	plain, look := len(p.caches)-len(p.odd), p.odd
 	if q.ranNode != nil || len(q.tried) > 0 {
-		plain, look = 0, r.caches
+		plain, look = 0, p.caches
 	}
 	for _, n := range look {
 		if n.cameUp > 0 && r.drawDue(n) {
@@ -108,14 +112,14 @@
 	if r.set.Extra.SharesFills && r.sincePurge(q) == 0 {
 		how = Join // not after a purge: what is under way may be older
 	}
-	shut := r.origin == nil || r.origin.brk.open(r.now) || !r.room(q, &r.behind)
+	shut := r.origin == nil || r.origin.gate(q.account).open(r.now) || !r.room(q, &r.behind)
 	if shut && len(r.parents) > 0 {
 		how |= HeldOnly
 	}
 	closed := len(r.parents) == 0 || len(q.sources) > 0
 	r.upRank.start(q.Object)
 	for n := r.upRank.next(); n != nil; n = r.upRank.next() {
-		if n.brk.open(r.now) || slices.Contains(q.sources, n) {
+		if n.gate(q.account).open(r.now) || slices.Contains(q.sources, n) {
 			continue
 		}
 		closed = true
@@ -130,10 +134,12 @@
 	return nil, how
 }
 
-// without answers q if no cache can be used: refused if some are merely full, else a source is asked.
+// without answers q if no cache can be used: refused if some are merely full or it is confined to those that
+// failed, else a source is asked.
 func (r *Router) without(q *request, full bool) {
 	source, how := r.pickSource(q)
-	if full || !r.set.Extra.Straight || r.origin == nil || source == nil || !r.sameGroup(q, source) {
+	straight := r.set.Extra.Straight && r.origin != nil && q.account == 0
+	if full || !straight || source == nil || !r.sameGroup(q, source) {
 		r.end(q)
 		return
 	}
@@ -148,7 +154,7 @@
 func (r *Router) passOn(q *request) {
 	a := attempt{node: r.origin}
 	if !r.set.Extra.Straight || a.node == nil || !r.sameGroup(q, a.node) {
-		a.node, _ = r.pickCache(q)
+		a.node, _ = r.pickCache(q, q.Set)
 		a.source = r.origin
 	}
 	if r.origin == nil || a.node == nil || q.attempts >= passAttempts {
@@ -167,21 +173,24 @@
 	act.TimeOut = max(q.deadline-r.now, 1)
 	a.at, a.work, a.nodeHad = r.now, r.sendMean[q.class], a.node.answered
 	for i, n := range []*node{a.node, a.source, r.origin} {
-		if n != nil && n.brk.ready(r.now) && (i == 0 || a.fills && (i == 1 || act.How&HeldOnly == 0)) {
-			n.brk.trial = true
-			a.trials = append(a.trials, n)
+		if n == nil || i > 0 && !(a.fills && (i == 1 || act.How&HeldOnly == 0)) {
+			continue
+		}
+		if b := n.gate(q.account); b.ready(r.now) {
+			b.trial = true
+			a.trials = append(a.trials, b)
 		}
 	}
 	r.spend(a.node, a.work)
 	if a.fills {
 		r.spend(a.source, a.work)
-		a.source.out++
+		r.occupy(a.source, q.account, 1)
 		if a.deep = a.source != r.origin && act.How&HeldOnly == 0; a.deep {
-			r.behind.out++
+			r.occupy(&r.behind, q.account, 1)
 		}
 		a.sourceHad = a.source.answered
 	}
-	a.node.out++
+	r.occupy(a.node, q.account, 1)
 	q.cur, q.out = a, true
 	q.attempts++
 	r.act(act)
--- a/rules/rank_test.go
+++ b/rules/rank_test.go
@@ -71,7 +71,7 @@
 
 // plainPick looks at every cache in the plain ranking, and draws for each that is usable.
 func plainPick(r *Router, q *request) (pick *node, full bool) {
-	r.panic = !slices.ContainsFunc(r.caches, func(n *node) bool { return !n.brk.open(r.now) })
+	r.poolOf(0).panic = !slices.ContainsFunc(r.caches, func(n *node) bool { return !n.brk.open(r.now) })
 	var fit []*node
 	for _, n := range plainRanking(r.caches, q.part, r.weighs) {
 		if !r.usableFor(q, n) {
@@ -122,7 +122,7 @@
 				n.brk.trial = rng.IntN(4) == 0
 			}
 		}
-		r.findOdd()
+		r.turned++
 		for i := range 50 {
 			r.now = now + int64(i)*100*ms
 			q := &request{Event: Event{Call: "c", Object: fmt.Sprint("o", rng.IntN(8)), SizeKb: 30}, class: rng.IntN(3)}
@@ -144,7 +144,7 @@
 			for n, old := range was {
 				n.luck, n.drawnAt, n.spent = old.luck, old.drawnAt, old.spent
 			}
-			got, full := r.pickCache(q)
+			got, full := r.pickCache(q, 0)
 			if got != want || got == nil && full != wantFull || *r.pcg != after {
 				t.Fatalf("world %d, pick %d: %v and draws %v, want %v and %v", world, i, got, *r.pcg, want, after)
 			}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,7 +23,8 @@
 		nodes: map[string]*node{}, requests: map[string]*request{}, purged: map[purgeKey]int64{},
 		watched: map[int64]*request{}, tenants: map[string]*tenant{}, recent: map[string]int{},
 		sendMean: make([]float64, len(set.Classes)), behind: node{limit: behindMost}}
-	r.rng, r.cacheRank, r.upRank = rand.New(r.pcg), newRanks(nil, false), newRanks(nil, false)
+	r.rng, r.upRank, r.empty = rand.New(r.pcg), newRanks(nil, false), &pool{rank: newRanks(nil, false)}
+	r.pools, r.behind.role = map[int]*pool{0: {list: -1}}, roleOrigin
 	if len(set.Classes) == 0 {
 		return nil, fmt.Errorf("Classes: none")
 	}
@@ -75,6 +76,8 @@
 			r.timer(ev.Token)
 		case Purged:
 			r.purge(ev)
+		case Confine:
+			r.confine(ev)
 		}
 	}
 	return r.acts
@@ -93,7 +96,7 @@
 		r.act(Action{Kind: Fail, Call: ev.Call})
 		return
 	}
-	q := &request{Event: *ev, class: class, deadline: r.now + ev.ExpiresIn}
+	q := &request{Event: *ev, class: class, account: r.poolOf(ev.Set).account, deadline: r.now + ev.ExpiresIn}
 	if t := r.tenants[q.Tenant]; t != nil {
 		t.add(r.now, rateSpan, 1)
 		q.over = t.rate(r.now, rateSpan)*1e6 > t.quota
--- a/rules/state.go
+++ b/rules/state.go
@@ -2,7 +2,11 @@
 
 // What a Router remembers: the structures that the decisions beside it read and write. Nothing is decided here.
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
 
 // breaker is a failure-rate breaker: closed, open until a time, then half-open with one trial out.
 type breaker struct {
@@ -38,11 +42,12 @@
 	usable           bool // listed as healthy
 	gone             bool // listed no more: forgotten once nothing is out at it
 	brk              breaker
-	out              int     // attempts out at it or filled from it
-	limit            float64 // the most that may be out (AIMD)
-	cutAt            int64   // when that was last cut
-	spent            []sent  // sent while cold, within the span of the rule
-	drawnAt          int64   // when luck was drawn, for the span that follows
+	out              int      // attempts out at it or filled from it
+	stakes           []*stake // of accounts, from 1, at a server that they share
+	limit            float64  // the most that may be out (AIMD)
+	cutAt            int64    // when that was last cut
+	spent            []sent   // sent while cold, within the span of the rule
+	drawnAt          int64    // when luck was drawn, for the span that follows
 	luck             float64
 	work             meter   // work done for this router while warm
 	answers          meter   // answers and fills that came from it
@@ -51,12 +56,110 @@
 	seats            float64 // routers that share it
 }
 
+// stake is what one account has at a server that accounts share.
+type stake struct {
+	brk breaker
+	out int
+	top meter // the most it had out of late
+}
+
+// keeps is how much of what it had out of late, at most, an account has free at present.
+func (s *stake) keeps(now int64, most float64) float64 {
+	return max(min(s.top.sum*math.Exp(-float64(now-s.top.at)/shareKept), most)-float64(s.out), 0)
+}
+
+// stake returns that of an account above 0.
+func (n *node) stake(account int) *stake {
+	for len(n.stakes) <= account {
+		n.stakes = append(n.stakes, &stake{})
+	}
+	return n.stakes[account]
+}
+
+// gate is the breaker that an account's requests heed: caches have one for all.
+func (n *node) gate(account int) *breaker {
+	if account == 0 || n.role == roleCache {
+		return &n.brk
+	}
+	return &n.stake(account).brk
+}
+
+// renew voids what was held against the process before.
+func (n *node) renew(cameUp int64) {
+	n.cameUp, n.brk, n.spent, n.limit, n.cutAt = cameUp, breaker{}, nil, 0, 0
+	for _, s := range n.stakes {
+		s.brk = breaker{}
+	}
+}
+
+// occupy books one more, or one less, out at n for an account.
+func (r *Router) occupy(n *node, account, more int) {
+	n.out += more
+	if account > 0 && n.role != roleCache {
+		s := n.stake(account)
+		s.out += more
+		if top := s.top.sum * math.Exp(-float64(r.now-s.top.at)/shareKept); float64(s.out) >= top {
+			s.top = meter{float64(s.out), r.now}
+		}
+	}
+}
+
+// pool is a set of caches from which requests are picked.
+type pool struct {
+	names       []string // nil: all of the zone
+	account     int
+	caches, odd []*node // usable, by name; those that are not plainly usable, or were not
+	rank        *ranks
+	list, brks  int  // states of the list of servers and of the breakers at which these were found
+	panic       bool // every cache is open
+}
+
+// poolOf returns a set as the list of servers has it now.
+func (r *Router) poolOf(set int) *pool {
+	p := r.pools[set]
+	if p == nil {
+		return r.empty
+	}
+	if p.list != r.listed {
+		p.list, p.brks = r.listed, -1
+		if p.caches = r.caches; p.names != nil {
+			p.caches = nil
+			for _, name := range p.names {
+				if n := r.nodes[name]; n != nil && n.usable && n.role == roleCache {
+					p.caches = append(p.caches, n)
+				}
+			}
+		}
+		p.rank = newRanks(p.caches, r.weighs)
+	}
+	if p.brks != r.turned {
+		p.brks = r.turned
+		r.findOdd(p)
+	}
+	return p
+}
+
+// confine takes a set of caches, and its account's share of what all share.
+func (r *Router) confine(ev *Event) {
+	if len(ev.Names) == 0 {
+		delete(r.pools, ev.Set)
+		return
+	}
+	names := slices.Clone(ev.Names)
+	slices.Sort(names)
+	r.pools[ev.Set] = &pool{names: slices.Compact(names), account: ev.Account, list: -1}
+	for len(r.shares) <= ev.Account {
+		r.shares = append(r.shares, 0)
+	}
+	r.shares[ev.Account] = ev.Share
+}
+
 // attempt is what is out for a request.
 type attempt struct {
 	node, source       *node
 	at                 int64
-	fills, deep        bool    // names a source for a miss; which may ask the origin in turn
-	trials             []*node // servers whose half-open trial this is
+	fills, deep        bool       // names a source for a miss; which may ask the origin in turn
+	trials             []*breaker // those whose half-open trial this is
 	work               float64
 	nodeHad, sourceHad float64 // what they had answered when it was sent
 	silent, lost       bool    // called back because nothing came; and others got answers meanwhile
@@ -66,6 +169,7 @@
 type request struct {
 	Event
 	class          int
+	account        int
 	part           string // object and part: what is kept and filled on its own
 	deadline       int64
 	attempts       int
@@ -91,8 +195,11 @@
 	nodes     map[string]*node
 	caches    []*node // usable, of the own zone, by name
 	parents   []*node // usable, by name
-	odd       []*node // of caches: those that are not plainly usable, or were not
-	cacheRank *ranks
+	pools     map[int]*pool
+	empty     *pool
+	shares    []float64 // by account, of servers that all share
+	listed    int       // counts lists of servers, and turned the breakers that opened or closed
+	turned    int
 	upRank    *ranks // of parents
 	origin    *node
 	behind    node // the origin as seen through parents: what may ask it in turn
@@ -110,5 +217,4 @@
 	watched   map[int64]*request // by token of the timer that looks at its attempt
 	hasX0     int
 	weighs    bool // weights tell the sizes of servers
-	panic     bool // every cache of the zone is open
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -104,13 +104,14 @@
 // The kinds of event.
 const (
 	Members   EventKind = iota + 1 // Mode, Rows
-	Request                        // Call, Class, Tenant, Object, Part, Group, SizeKb, ExpiresIn, Write, IsRetry
+	Request                        // Call, Class, Tenant, Object, Part, Group, SizeKb, ExpiresIn, Write, IsRetry, Set, Spill
 	FirstByte                      // Call, Attempt, Node, Rtt
 	Outcome                        // Call, Attempt, Node, Code, Rtt, Final, Note, UpstreamWait, Metrics
 	Gone                           // Call
 	Timer                          // Token
 	Probed                         // Code, Node, Rtt, Metrics
 	Purged                         // Object ("" for a whole group), Group, Age
+	Confine                        // Set, Account, Share, Names
 )
 
 // Event is one thing the router is told.
@@ -138,6 +139,16 @@
 	Final        bool
 	Rows         []Row
 	Metrics      []float64
+
+	// Set names the caches that a request may go to, Spill those that it may go to when none of them can take it.
+	// 0 stands for all caches of the zone, in Spill for none. A set that no Confine named holds no cache.
+	Set, Spill int
+	// Account is who pays for what a set's requests take of servers that all share (parents, the origin): breakers
+	// are kept for each, and Share of such a server's limit, 0 to 1, is an account's own whenever it wants it.
+	// Account 0 is that of unconfined requests, which have no share.
+	Account int
+	Share   float64
+	Names   []string // of the set's caches; none: the set is dropped
 }
 
 // Row is one entry of a list of servers.
