Set cells by a features file: Jsonnet, strict, on SIGHUP; spanctl checks, explains and plans

The life of a request goes through cells.Module, which is rules.Router and nothing else while cells are off; the planner and the schema stand in packages of their own, so that the router links neither.

--- /dev/null
+++ b/cmd/spanctl/main.go
@@ -0,0 +1,241 @@
+// Command spanctl is for operators: it checks a features file, tells what it does to a request, and plans assignments. It
+// works on files alone and speaks to no router.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"spantack/core/cells"
+	"spantack/core/cells/plan"
+	"spantack/internal/features"
+	"spantack/internal/features/schema"
+)
+
+type cli struct {
+	Check checkCmd `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
+	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan."`
+}
+
+type checkCmd struct {
+	File   string `arg:"" optional:"" help:"The features file."`
+	Schema bool   `help:"Prints the JSON Schema of the file instead."`
+}
+
+func (c *checkCmd) Run(out io.Writer) error {
+	if c.Schema {
+		text, err := schema.JSON()
+		if err != nil {
+			return err
+		}
+		_, err = out.Write(text)
+		return err
+	}
+	f, err := features.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if spec := f.Spec(); spec != nil {
+		fmt.Fprintf(out, "cells: on, version %d, %s, %d cells, %d tenants, %d keys\n", spec.Version, spec.Scheme, len(spec.Cells), len(spec.Tenants), len(spec.Keys))
+	} else {
+		fmt.Fprintln(out, "cells: off")
+	}
+	return nil
+}
+
+type cellsCmd struct {
+	Show    showCmd    `cmd:"" help:"Cells and tenants of a file, and with --caches which cache is in which cell."`
+	Explain explainCmd `cmd:"" help:"Whose a request is, and which caches it may go to."`
+	Diff    diffCmd    `cmd:"" help:"What changes from one file to another."`
+	Plan    planCmd    `cmd:"" help:"Proposes cells for tenants from measured demand."`
+}
+
+// load takes a file in which cells are on.
+func load(file string) (*cells.Spec, error) {
+	f, err := features.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	spec := f.Spec()
+	if spec == nil {
+		return nil, fmt.Errorf("%s: cells are off", file)
+	}
+	return spec, nil
+}
+
+type showCmd struct {
+	File   string   `arg:"" help:"The features file."`
+	Caches []string `help:"Ids of a depot's caches."`
+}
+
+func (c *showCmd) Run(out io.Writer) error {
+	spec, err := load(c.File)
+	if err != nil {
+		return err
+	}
+	tenants := map[string]int{}
+	for _, t := range spec.Tenants {
+		tenants[t.Cell]++
+	}
+	in := make([][]string, len(spec.Cells))
+	if len(c.Caches) > 0 {
+		in = spec.Divide(c.Caches)
+	}
+	for i, cell := range spec.Cells {
+		fmt.Fprintf(out, "%-16s share %.3f  tenants %5d  no live cache: %s", cell.Name, cell.Share, tenants[cell.Name], spill(cell.Spill))
+		if len(c.Caches) > 0 {
+			fmt.Fprintf(out, "  caches %s", strings.Join(in[i], ","))
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
+
+func spill(to string) string {
+	if to == "" {
+		return "refuse"
+	}
+	return "use " + to
+}
+
+type explainCmd struct {
+	File   string   `arg:"" help:"The features file."`
+	Family int      `help:"Group of the object, 0 to 255."`
+	Class  string   `help:"Class of the request."`
+	Object string   `help:"The object, in hex."`
+	Tenant string   `help:"The tenant as the front names it."`
+	Depot  string   `help:"The depot."`
+	Caches []string `help:"Ids of the depot's caches."`
+}
+
+func (c *explainCmd) Run(out io.Writer) error {
+	spec, err := load(c.File)
+	if err != nil {
+		return err
+	}
+	a := spec.Explain(c.Depot, c.Caches, c.Family, c.Class, c.Object, c.Tenant)
+	fmt.Fprintf(out, "keys[%d]: tenant %s, cell %s; no live cache: %s", a.Line, a.Tenant, a.Cell, spill(a.Spill))
+	if a.Spare != "" {
+		fmt.Fprintf(out, "; no room: use %s", a.Spare)
+	}
+	if len(c.Caches) > 0 {
+		fmt.Fprintf(out, "; caches %s", strings.Join(a.Caches, ","))
+	}
+	fmt.Fprintln(out)
+	return nil
+}
+
+type diffCmd struct {
+	Old string `arg:"" help:"The file in force."`
+	New string `arg:"" help:"The file to come."`
+}
+
+func (c *diffCmd) Run(out io.Writer) error {
+	old, err := load(c.Old)
+	if err != nil {
+		return err
+	}
+	next, err := load(c.New)
+	if err != nil {
+		return err
+	}
+	for _, line := range cells.Difference(old, next) {
+		fmt.Fprintln(out, line)
+	}
+	return nil
+}
+
+type planCmd struct {
+	File      string  `arg:"" help:"The features file in force: its cells, and the present cell of each tenant."`
+	Demand    string  `required:"" help:"JSON: a list of {name, loads, worth}; loads by resource, the same order for all."`
+	MostWorth float64 `help:"The greatest part of all worth that one cell may hold; 0: any."`
+	MostMoves int     `default:"-1" help:"Tenants that may change their cell; -1: any number."`
+	Seed      uint64  `default:"1" help:"Seed of the search."`
+}
+
+// measured is one line of the demand file.
+type measured struct {
+	Name  string    `json:"name"`
+	Loads []float64 `json:"loads"`
+	Worth float64   `json:"worth"`
+}
+
+func (c *planCmd) Run(out io.Writer) error {
+	spec, err := load(c.File)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(c.Demand)
+	if err != nil {
+		return err
+	}
+	var lines []measured
+	if err := json.Unmarshal(text, &lines); err != nil {
+		return fmt.Errorf("%s: %w", c.Demand, err)
+	}
+	place := map[string]int{}
+	aim := plan.Aim{MostWorth: c.MostWorth, MostMoves: c.MostMoves, Seed: c.Seed}
+	for i, cell := range spec.Cells {
+		place[cell.Name] = i
+		aim.Shares = append(aim.Shares, cell.Share)
+	}
+	now := map[string]int{}
+	for _, t := range spec.Tenants {
+		now[t.Name] = place[t.Cell]
+	}
+	var demand []plan.Demand
+	for i, l := range lines {
+		at, known := now[l.Name]
+		if !known {
+			at = -1
+		}
+		for _, load := range append(l.Loads, l.Worth) {
+			if !(load >= 0 && load < 1e15) {
+				return fmt.Errorf("%s[%d]: %v is no load", c.Demand, i, load)
+			}
+		}
+		demand = append(demand, plan.Demand{Name: l.Name, Loads: l.Loads, Worth: l.Worth, Now: at})
+	}
+	p, err := plan.Make(demand, aim)
+	if err != nil && !errors.Is(err, plan.ErrNoPlan) {
+		return err
+	}
+	fmt.Fprintf(out, "worst cell %.3f of an even one, bound %.3f, %d moves, at most %.3f of the worth in one cell\n", p.Worst, p.Bound, p.Moves, p.MostWorth)
+	for i, d := range demand {
+		switch {
+		case d.Now < 0:
+			fmt.Fprintf(out, "%s: new, to %s\n", d.Name, spec.Cells[p.Cell[i]].Name)
+		case d.Now != p.Cell[i]:
+			fmt.Fprintf(out, "%s: from %s to %s\n", d.Name, spec.Cells[d.Now].Name, spec.Cells[p.Cell[i]].Name)
+		}
+	}
+	return err
+}
+
+func main() {
+	if err := run(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "spanctl:", err)
+		os.Exit(1)
+	}
+}
+
+// run carries one command line out.
+func run(args []string, out io.Writer) error {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("spanctl"), kong.Description("Checks, explains and plans what routers are told."))
+	if err != nil {
+		return err
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return err
+	}
+	ctx.BindTo(out, (*io.Writer)(nil))
+	return ctx.Run()
+}
--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/schollz/progressbar/v3"
@@ -109,7 +110,11 @@
 	return lab.Compare(os.Stdout, both[0], both[1])
 }
 
+// gcPercent trades memory for time: worlds allocate much that is soon free.
+const gcPercent = 400
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	var c cli
 	parser := kong.Must(&c, kong.Name("spanlab"), kong.Description("Experiments on the emulator."), kong.UsageOnError())
 	ctx, err := parser.Parse(os.Args[1:])
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -15,12 +15,15 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"spantack/core/cells"
 	"spantack/internal/board"
 	"spantack/internal/clock"
 	"spantack/internal/config"
+	"spantack/internal/features"
 	"spantack/internal/msgpackrpc"
 	"spantack/internal/resp"
 	"spantack/internal/router"
@@ -51,10 +54,21 @@
 	spareSockets = 48
 )
 
+// flags are the command line; all else comes from the environment. Without flags nothing new is on.
+type flags struct {
+	Features string `help:"Jsonnet file with what is switched on; see deploy/features.jsonnet." placeholder:"FILE"`
+}
+
 func main() {
-	c, err := config.Load(os.Getenv)
+	var f flags
+	parser := kong.Must(&f, kong.Name("spantack"), kong.Description("A request router; it reads RELAY_NAME, RELAY_LISTEN and RELAY_CONFIG."))
+	_, err := parser.Parse(os.Args[1:])
+	var c *config.Config
+	if err == nil {
+		c, err = config.Load(os.Getenv)
+	}
 	if err == nil {
-		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) })
+		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) }, f.Features)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "spantack:", err)
@@ -62,11 +76,30 @@
 	}
 }
 
+// feature loads the features file against the settings in force; without a file nothing is on.
+func feature(file string, c *config.Config) (*features.File, error) {
+	if file == "" {
+		return &features.File{}, nil
+	}
+	f, err := features.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Fits(&c.Settings); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return f, nil
+}
+
 // reload brings the configuration for a SIGHUP.
 type reload func() (*config.Config, error)
 
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
-func run(c *config.Config, again reload) error {
+func run(c *config.Config, again reload, file string) error {
+	on, err := feature(file, c)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(1) // routers share one core: more threads would only take turns on it
 	debug.SetMemoryLimit(int64(memoryShare * c.MemoryMB * (1 << 20)))
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
@@ -95,6 +128,9 @@
 	if err != nil {
 		return err
 	}
+	if err := core.Confine(on.Spec()); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
 	apply := func(n router.Notice) {
 		pools.Apply(n)
 		core.Apply(n)
@@ -129,6 +165,7 @@
 				return nil
 			case <-hangUp:
 				c = reconfigure(c, again, follower.Move, log)
+				refeature(file, c, core, log)
 			}
 		}
 	})
@@ -177,6 +214,26 @@
 	return &taken
 }
 
+// refeature takes the features file in anew after SIGHUP. A file that can't be used changes nothing.
+func refeature(file string, c *config.Config, core *router.Router, log zerolog.Logger) {
+	if file == "" {
+		return
+	}
+	on, err := feature(file, c)
+	if err == nil {
+		err = core.Confine(on.Spec())
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("new features can't be used")
+		return
+	}
+	version := int64(0)
+	if spec := on.Spec(); spec != nil {
+		version = spec.Version
+	}
+	log.Info().Int64("cells", version).Msg("new features")
+}
+
 // report prints the counters on SIGUSR1.
 func report(ctx context.Context, core *router.Router, server *msgpackrpc.Server, log zerolog.Logger) error {
 	asked := make(chan os.Signal, 1)
@@ -199,4 +256,15 @@
 		Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).Int64("gone", n.Gone.Load()).
 		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Int64("client_faults", clientFaults).Int64("gave_way", gaveWay).
 		Int64("turned_away", turnedAway).Msg("counters")
+	p := core.Cells()
+	if p == nil {
+		return
+	}
+	line := log.Info().Int64("version", p.Version).Int64("admitted", p.Stats.Admitted).Int64("spilled", p.Stats.Spilled)
+	for why, count := range p.Stats.Refused {
+		if count > 0 {
+			line = line.Int64("refused: "+cells.Reason(why).String(), count)
+		}
+	}
+	line.Interface("cells", p.Cells).Interface("heavy", p.Heavy).Msg("cells")
 }
--- a/core/cells/plan.go
+++ b/core/cells/plan/plan.go
@@ -1,4 +1,6 @@
-package cells
+// Package plan proposes which cell each tenant should have: even loads, a bound on what one cell may hold of all worth, and
+// few tenants moved. It does no I/O; random numbers come from a seed.
+package plan
 
 import (
 	"cmp"
@@ -57,9 +59,9 @@
 	cell   []int
 }
 
-// MakePlan proposes an assignment: the present one mended by as few moves as it takes, or where tenants have no cell, the
+// Make proposes an assignment: the present one mended by as few moves as it takes, or where tenants have no cell, the
 // heaviest first to where it hurts least; then single moves and swaps out of the worst cell while they help.
-func MakePlan(demand []Demand, aim Aim) (Plan, error) {
+func Make(demand []Demand, aim Aim) (Plan, error) {
 	if len(aim.Shares) == 0 || len(demand) == 0 {
 		return Plan{}, errors.New("no cells or no tenants")
 	}
--- a/emulator/spec.go
+++ b/emulator/spec.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"spantack/core/cells"
+	"spantack/core/cells/plan"
 )
 
 // budgetRoom is the part of a thing's capacity that is shared out: what is over it takes up bursts.
@@ -18,16 +19,16 @@
 		shares[i] = 1 / float64(n)
 		spec.Cells = append(spec.Cells, cells.Cell{Name: fmt.Sprintf("cell-%02d", i), Share: shares[i]})
 	}
-	var demand []cells.Demand
+	var demand []plan.Demand
 	for i, share := range cfg.TenantShares() {
-		demand = append(demand, cells.Demand{Name: fmt.Sprintf("tenant-%05d", i), Loads: cells.Loads{share}, Worth: share, Now: -1})
+		demand = append(demand, plan.Demand{Name: fmt.Sprintf("tenant-%05d", i), Loads: plan.Loads{share}, Worth: share, Now: -1})
 	}
-	plan, err := cells.MakePlan(demand, cells.Aim{Shares: shares, MostMoves: -1, Seed: cfg.Seed})
+	proposed, err := plan.Make(demand, plan.Aim{Shares: shares, MostMoves: -1, Seed: cfg.Seed})
 	if err != nil {
 		panic(err) // no bound on worth was asked for: there is always a plan
 	}
 	for i, d := range demand {
-		spec.Tenants = append(spec.Tenants, cells.Tenant{Name: d.Name, Cell: spec.Cells[plan.Cell[i]].Name})
+		spec.Tenants = append(spec.Tenants, cells.Tenant{Name: d.Name, Cell: spec.Cells[proposed.Cell[i]].Name})
 		spec.Keys = append(spec.Keys, cells.Key{Prefix: TenantPrefix(i), Tenant: d.Name})
 	}
 	spec.Keys = append(spec.Keys, cells.Key{Tenant: demand[len(demand)-1].Name})
@@ -39,5 +40,5 @@
 		Open:         2000,
 		WritesPerS:   4 * cfg.RateS / float64(cfg.Depots) * classOf[report].share,
 	}
-	return spec, plan.Cell
+	return spec, proposed.Cell
 }
--- /dev/null
+++ b/internal/features/features.go
@@ -0,0 +1,253 @@
+// Package features reads the file in which what is new since the platform's configuration is set: Jsonnet, strictly
+// decoded, checked as a whole. Nothing of a file applies unless all of it can be used.
+package features
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/google/go-jsonnet"
+
+	"spantack/core/cells"
+	"spantack/rules"
+)
+
+// mostBytes bounds the file, each import, and what it evaluates to.
+const mostBytes = 32 << 20
+
+// File is one features file. A feature that is left out is off.
+type File struct {
+	Cells Cells `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
+}
+
+// Cells is the feature of that name.
+type Cells struct {
+	Enabled bool `json:"enabled"`
+	cells.Spec
+}
+
+// Spec is what to confine tenants by; nil while the feature is off.
+func (f *File) Spec() *cells.Spec {
+	if f == nil || !f.Cells.Enabled {
+		return nil
+	}
+	return &f.Cells.Spec
+}
+
+// Load evaluates, decodes and checks a file. The error is one line: file, field, value and what is allowed.
+func Load(path string) (*File, error) {
+	text, err := evaluate(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	f, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// Parse decodes and checks what a file evaluates to.
+func Parse(text []byte) (*File, error) {
+	var doc any
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return nil, err
+	}
+	if err := strict(doc, reflect.TypeFor[File](), ""); err != nil {
+		return nil, err
+	}
+	f := &File{}
+	if err := json.Unmarshal(text, f); err != nil {
+		return nil, err
+	}
+	if spec := f.Spec(); spec != nil {
+		if err := spec.Check(); err != nil {
+			return nil, fmt.Errorf("cells.%w", err)
+		}
+	}
+	return f, nil
+}
+
+// Fits holds a file against a router's settings: the names that it uses must be known there.
+func (f *File) Fits(set *rules.Settings) error {
+	spec := f.Spec()
+	if spec == nil {
+		return nil
+	}
+	var classes []string
+	for _, c := range set.Classes {
+		classes = append(classes, c.Name)
+	}
+	for i, k := range spec.Keys {
+		if k.Class != "" && !slices.Contains(classes, k.Class) {
+			return fmt.Errorf("cells.keys[%d].class: %q is no class; classes are %s", i, k.Class, strings.Join(classes, ", "))
+		}
+	}
+	for i, t := range spec.Tenants {
+		for depot := range t.In {
+			if len(set.Zones) > 0 && !slices.Contains(set.Zones, depot) {
+				return fmt.Errorf("cells.tenants[%d].in[%s]: no such depot; depots are %s", i, depot, strings.Join(set.Zones, ", "))
+			}
+		}
+	}
+	return nil
+}
+
+func evaluate(path string) (text []byte, err error) {
+	defer func() {
+		if p := recover(); p != nil { // the evaluator's fault must not take the router down on SIGHUP
+			err = fmt.Errorf("evaluation failed: %v", p)
+		}
+	}()
+	source, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	vm := jsonnet.MakeVM()
+	vm.ErrorFormatter.SetMaxStackTraceSize(2)
+	vm.Importer(&folder{dir: filepath.Dir(path), known: map[string]jsonnet.Contents{}})
+	out, err := vm.EvaluateAnonymousSnippet(filepath.Base(path), source)
+	if err != nil {
+		return nil, errors.New(strings.Join(strings.Fields(err.Error()), " "))
+	}
+	if len(out) > mostBytes {
+		return nil, fmt.Errorf("evaluates to %d bytes, %d at most", len(out), mostBytes)
+	}
+	return []byte(out), nil
+}
+
+func read(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", err
+	}
+	if !info.Mode().IsRegular() || info.Size() > mostBytes {
+		return "", fmt.Errorf("no file of %d bytes at most", mostBytes)
+	}
+	text, err := os.ReadFile(path)
+	return string(text), err
+}
+
+// folder imports from one folder only: a features file says all that it depends on.
+type folder struct {
+	dir   string
+	known map[string]jsonnet.Contents
+}
+
+// Import is for jsonnet.Importer.
+func (f *folder) Import(_, name string) (jsonnet.Contents, string, error) {
+	if !filepath.IsLocal(name) {
+		return jsonnet.Contents{}, "", fmt.Errorf("import %q: not in the file's own folder", name)
+	}
+	if c, known := f.known[name]; known {
+		return c, name, nil
+	}
+	text, err := read(filepath.Join(f.dir, name))
+	if err != nil {
+		return jsonnet.Contents{}, "", fmt.Errorf("import %q: %w", name, err)
+	}
+	c := jsonnet.MakeContents(text)
+	f.known[name] = c
+	return c, name, nil
+}
+
+// strict holds a document against a Go type: no field that the type lacks, no value of another kind.
+func strict(doc any, t reflect.Type, at string) error {
+	wrong := func(want string) error {
+		text, err := json.Marshal(doc)
+		if err != nil {
+			return err
+		}
+		if len(text) > 60 {
+			text = append(text[:57:57], "..."...)
+		}
+		return fmt.Errorf("%s: %s is not %s", strings.TrimPrefix(at, "."), text, want)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		m, is := doc.(map[string]any)
+		if !is {
+			return wrong("an object")
+		}
+		fields := map[string]reflect.Type{}
+		collect(t, fields)
+		var names []string
+		for name := range fields {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		var given []string
+		for name := range m {
+			given = append(given, name)
+		}
+		slices.Sort(given)
+		for _, name := range given {
+			ft, known := fields[name]
+			if !known {
+				return fmt.Errorf("%s: no such field; fields are %s", strings.TrimPrefix(at+"."+name, "."), strings.Join(names, ", "))
+			}
+			if err := strict(m[name], ft, at+"."+name); err != nil {
+				return err
+			}
+		}
+	case reflect.Slice:
+		list, is := doc.([]any)
+		if !is {
+			return wrong("a list")
+		}
+		for i, v := range list {
+			if err := strict(v, t.Elem(), fmt.Sprintf("%s[%d]", at, i)); err != nil {
+				return err
+			}
+		}
+	case reflect.Map:
+		m, is := doc.(map[string]any)
+		if !is {
+			return wrong("an object")
+		}
+		for name, v := range m {
+			if err := strict(v, t.Elem(), at+"["+name+"]"); err != nil {
+				return err
+			}
+		}
+	case reflect.String:
+		if _, is := doc.(string); !is {
+			return wrong("a string")
+		}
+	case reflect.Bool:
+		if _, is := doc.(bool); !is {
+			return wrong("true or false")
+		}
+	case reflect.Float64:
+		if _, is := doc.(float64); !is {
+			return wrong("a number")
+		}
+	case reflect.Int, reflect.Int64:
+		if n, is := doc.(float64); !is || n != math.Trunc(n) || math.Abs(n) > 1<<53 {
+			return wrong("a whole number")
+		}
+	default:
+		return fmt.Errorf("%s: a field of kind %s is not provided for", at, t.Kind())
+	}
+	return nil
+}
+
+// collect gathers the fields of a struct and of those embedded in it, by their names in JSON.
+func collect(t reflect.Type, into map[string]reflect.Type) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Anonymous {
+			collect(f.Type, into)
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		into[name] = f.Type
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"spantack/core/cells"
 	"spantack/internal/clock"
 	"spantack/rules"
 )
@@ -18,6 +19,7 @@
 type Request struct {
 	ID      string
 	Class   string
+	Tenant  string // as the front names it; often unknown
 	Object  string
 	Part    int64
 	Group   int64
@@ -119,7 +121,7 @@
 	upstream Upstream
 
 	mu    sync.Mutex // held only while the module decides; never across I/O
-	rules *rules.Router
+	rules *cells.Module
 	last  int64 // the module's clock must not run backwards
 	mail  map[string]chan rules.Action
 
@@ -128,7 +130,7 @@
 
 // New returns a router that decides by the settings and sends by way of upstream.
 func New(set rules.Settings, seed int64, c *clock.Clock, upstream Upstream, log zerolog.Logger) (*Router, error) {
-	module, err := rules.New(set, seed)
+	module, err := cells.NewModule(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -140,6 +142,21 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
+// Confine puts a specification of cells in force before it returns, or with nil none. An error leaves the old one.
+func (r *Router) Confine(spec *cells.Spec) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = max(r.last, clock.Micros(r.clock.Now()))
+	return r.rules.Confine(r.last, spec)
+}
+
+// Cells is a picture of the cells at present; nil while nothing is confined.
+func (r *Router) Cells() *cells.Picture {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Picture(clock.Micros(r.clock.Now()))
+}
+
 // Apply takes a notice to the module before it returns; the first whole list is the one restored at the start.
 func (r *Router) Apply(n Notice) {
 	ev := rules.Event{Kind: rules.Members, Mode: "update"}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -45,7 +45,7 @@
 	end := q.Arrived + q.Allow - min(max(marginShare*q.Allow, leastMargin), mostMargin)
 	late, lateTimer := r.clock.Alarm(end + overdue - r.clock.Now())
 	defer lateTimer.Stop()
-	r.step(rules.Event{Kind: rules.Request, Call: q.ID, Class: q.Class, Object: q.Object, Part: q.Part, Group: q.Group,
+	r.step(rules.Event{Kind: rules.Request, Call: q.ID, Class: q.Class, Tenant: q.Tenant, Object: q.Object, Part: q.Part, Group: q.Group,
 		SizeKb: q.SizeKb, ExpiresIn: clock.Micros(end - r.clock.Now())})
 
 	// What is out for this request: never more than one attempt.
