--- a/emulator/spec.go
+++ b/emulator/spec.go
@@ -8,7 +8,7 @@
 )
 
 // budgetRoom is the part of a thing's capacity that is shared out: what is over it takes up bursts.
-const budgetRoom = 0.9
+const budgetRoom = 0.8
 
 // Spec is an assignment of a world's tenants to n cells of equal shares, planned from their parts of the load, with the
 // budgets that the world's links bear; and the cell of each tenant.
@@ -38,6 +38,7 @@
 		ParentKbPerS: budgetRoom * cfg.parentChannels() * float64(cfg.Parents) * paceKbS,
 		OriginKbPerS: budgetRoom * cfg.originKbS(),
 		Open:         2000,
+		GiveMs:       1000,
 		WritesPerS:   4 * cfg.RateS / float64(cfg.Depots) * classOf[report].share,
 	}
 	return spec, proposed.Cell
