Show cells on loopback: stand-ins for tiers and board, a client, spanlab demo

Tests, real processes: a flood of one tenant on three routers, 3,000 requests, each with one right answer, none at a cache outside its cell; an assignment exchanged by SIGHUP under load with nothing lost, a bad file before it without effect.

--- a/cmd/spanlab/main.go
+++ b/cmd/spanlab/main.go
@@ -2,17 +2,22 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/schollz/progressbar/v3"
 
 	"spantack/lab"
+	"spantack/lab/local"
 )
 
 // Exit codes.
@@ -26,6 +31,7 @@
 type cli struct {
 	List    listCmd    `cmd:"" help:"Lists the experiments."`
 	Run     runCmd     `cmd:"" help:"Runs an experiment; exits with 3 when a claim falls short."`
+	Demo    demoCmd    `cmd:"" help:"Brings a small deployment up on loopback, with one real router and a small load."`
 	Compare compareCmd `cmd:"" help:"Sets two results side by side."`
 }
 
@@ -60,16 +66,13 @@
 		return err
 	}
 	var outcomes []*lab.Outcome
-	var bar *progressbar.ProgressBar
-	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
-		bar = progressbar.NewOptions(int(c.Seeds)*len(e.Arms)*len(e.Days), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionClearOnFinish())
-	}
+	runs := len(e.Arms) * len(e.Days)
+	bar := newProgress(runs * int(c.Seeds))
+	defer bar.finish()
 	short := false
 	for i := range c.Seeds {
-		o, err := e.Play(c.Size, c.Seed+i, func(int, int) {
-			if bar != nil {
-				_ = bar.Add(1)
-			}
+		o, err := e.Play(c.Size, c.Seed+i, func(done, _ int) {
+			bar.show(int(i)*runs+done, runs*int(c.Seeds))
 		})
 		if err != nil {
 			return err
@@ -91,6 +94,47 @@
 	return nil
 }
 
+type demoCmd struct{}
+
+// demoWithin bounds the demonstration.
+const demoWithin = time.Minute
+
+func (demoCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, demoWithin)
+	defer cancel()
+	bar := newProgress(-1)
+	defer bar.finish()
+	return local.Demo(ctx, os.Stdout, func(done, all int) { bar.show(done, all) })
+}
+
+// progress is a bar on a terminal, and nothing elsewhere.
+type progress struct{ bar *progressbar.ProgressBar }
+
+func newProgress(all int) *progress {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return &progress{}
+	}
+	return &progress{progressbar.NewOptions(all, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionThrottle(200*time.Millisecond),
+		progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())}
+}
+
+// A bar that can't be drawn stops nothing: its errors are left.
+func (p *progress) show(done, all int) {
+	if p.bar != nil {
+		p.bar.ChangeMax(all)
+		_ = p.bar.Set(done)
+	}
+}
+
+func (p *progress) finish() {
+	if p.bar != nil {
+		_ = p.bar.Finish()
+	}
+}
+
 type compareCmd struct {
 	A string `arg:"" type:"existingfile" help:"result.json"`
 	B string `arg:"" type:"existingfile" help:"result.json"`
--- a/internal/msgpackrpc/codec.go
+++ b/internal/msgpackrpc/codec.go
@@ -21,21 +21,22 @@
 
 var errMalformed = errors.New("malformed message")
 
-// decoder reads one message; left is what it may still take.
+// decoder reads one message; left is what it may still take, most the longest string or body.
 type decoder struct {
 	in   *bufio.Reader
 	left int
+	most int
 }
 
 // readMessage reads one MessagePack value: nil, bool, int64, uint64, float64, string, []byte, []any or
 // map[string]any.
 func readMessage(in *bufio.Reader) (any, error) {
-	d := decoder{in: in, left: maxTotal}
+	d := decoder{in: in, left: maxTotal, most: maxBytes}
 	return d.value(0)
 }
 
 func (d *decoder) take(n int) ([]byte, error) {
-	if n > maxBytes || n > d.left {
+	if n > d.most || n > d.left {
 		return nil, fmt.Errorf("%w: %d bytes are too many", errMalformed, n)
 	}
 	d.left -= n
@@ -131,7 +132,7 @@
 
 func (d *decoder) length(size int) (int, error) {
 	n, err := d.uint(size)
-	if n > maxBytes {
+	if n > uint64(d.most) {
 		return 0, fmt.Errorf("%w: length %d", errMalformed, n)
 	}
 	return int(n), err
--- a/internal/resp/codec.go
+++ b/internal/resp/codec.go
@@ -28,8 +28,8 @@
 
 var errMalformed = errors.New("malformed answer")
 
-// readArray reads one array of bulk strings.
-func readArray(in *bufio.Reader) ([][]byte, error) {
+// ReadArray reads one array of bulk strings: a command or an answer. Lengths are checked before anything is allocated.
+func ReadArray(in *bufio.Reader) ([][]byte, error) {
 	n, err := readLength(in, '*', maxParts)
 	if err != nil {
 		return nil, err
@@ -90,8 +90,8 @@
 	return 0, fmt.Errorf("%w: no length after %q", errMalformed, kind)
 }
 
-// appendArray adds an array of bulk strings to buf.
-func appendArray(buf []byte, parts ...[]byte) []byte {
+// AppendArray adds an array of bulk strings to buf.
+func AppendArray(buf []byte, parts ...[]byte) []byte {
 	buf = append(strconv.AppendInt(append(buf, '*'), int64(len(parts)), 10), "\r\n"...)
 	for _, p := range parts {
 		buf = append(strconv.AppendInt(append(buf, '$'), int64(len(p)), 10), "\r\n"...)
@@ -137,7 +137,7 @@
 	}
 	put("ways", strings.Join(how, "+"))
 	put("cached", a.Have)
-	return appendArray(buf, []byte("GET"), []byte(a.ID), []byte(fields.String()), a.Body)
+	return AppendArray(buf, []byte("GET"), []byte(a.ID), []byte(fields.String()), a.Body)
 }
 
 // wholeMillis rounds down, so that an age limit never lets in more than was meant, but not to 0: that means another
--- a/internal/resp/codec_test.go
+++ b/internal/resp/codec_test.go
@@ -25,18 +25,18 @@
 		var stream []byte
 		want := rapid.SliceOfN(rapid.Custom(drawArray), 1, 4).Draw(t, "arrays")
 		for _, parts := range want {
-			stream = appendArray(stream, parts...)
+			stream = AppendArray(stream, parts...)
 		}
 		in := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(stream)), 16)
 		for _, parts := range want {
-			got, err := readArray(in)
+			got, err := ReadArray(in)
 			if err != nil || !bytes.Equal(bytes.Join(got, []byte{0, 1}), bytes.Join(parts, []byte{0, 1})) {
 				t.Fatalf("got %q (%v), want %q", got, err, parts)
 			}
 		}
 		short := bufio.NewReader(bytes.NewReader(stream[:rapid.IntRange(0, len(stream)).Draw(t, "cut")]))
 		for {
-			if _, err := readArray(short); err == io.EOF || err == io.ErrUnexpectedEOF {
+			if _, err := ReadArray(short); err == io.EOF || err == io.ErrUnexpectedEOF {
 				return
 			} else if err != nil {
 				t.Fatalf("a cut is no malformed answer: %v", err)
@@ -50,10 +50,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		garbage := rapid.SliceOfN(rapid.SampledFrom([]byte("*$0149\r\nOKMISnlow=,-\x00")), 0, 80).Draw(t, "garbage")
 		if rapid.Bool().Draw(t, "damaged") {
-			garbage = appendArray(nil, []byte("9b1f"), []byte("OK"), []byte("n=TCP_HIT,slow=3"), []byte("body"))
+			garbage = AppendArray(nil, []byte("9b1f"), []byte("OK"), []byte("n=TCP_HIT,slow=3"), []byte("body"))
 			garbage[rapid.IntRange(0, len(garbage)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
 		}
-		parts, err := readArray(bufio.NewReader(bytes.NewReader(garbage)))
+		parts, err := ReadArray(bufio.NewReader(bytes.NewReader(garbage)))
 		if err == nil {
 			_, _, err = parseAnswer(parts)
 		}
@@ -67,7 +67,7 @@
 func TestLengths(t *testing.T) {
 	for _, text := range []string{"*9\r\n", "*-1\r\n", "*1\r\n$99999999\r\n", "*1\r\n$5000\r\n", "*1\r\n$1\r\nabc",
 		"$1\r\na\r\n", "*1\n$1\r\na\r\n", "*00000000000000001\r\n"} {
-		if _, err := readArray(bufio.NewReader(strings.NewReader(text))); !errors.Is(err, errMalformed) {
+		if _, err := ReadArray(bufio.NewReader(strings.NewReader(text))); !errors.Is(err, errMalformed) {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -333,7 +333,7 @@
 	c.dropped[k.try.ID] = now
 	written := make(chan struct{})
 	select {
-	case c.queue <- command{text: appendArray(nil, []byte("DROP"), []byte(k.try.ID)), written: written}:
+	case c.queue <- command{text: AppendArray(nil, []byte("DROP"), []byte(k.try.ID)), written: written}:
 	default: // a connection that takes nothing more is no good: its end gives up all that is out on it
 		c.close()
 	}
@@ -410,7 +410,7 @@
 		_, err := in.Peek(1)
 		var parts [][]byte
 		if err == nil {
-			parts, err = readArray(in)
+			parts, err = ReadArray(in)
 		}
 		var id string
 		var end router.End
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -48,7 +48,7 @@
 
 // command reads the verb and id of the next command.
 func (l *link) command() string {
-	parts, err := readArray(l.in)
+	parts, err := ReadArray(l.in)
 	if err != nil {
 		l.t.Fatal(err)
 	}
@@ -69,7 +69,7 @@
 	for _, w := range words {
 		parts = append(parts, []byte(w))
 	}
-	l.Write(appendArray(nil, parts...))
+	l.Write(AppendArray(nil, parts...))
 }
 
 func newPools(t *testing.T, addr string) (*Pools, *clock.Clock) {
@@ -163,7 +163,7 @@
 	}
 	p.mu.Unlock()
 	one.expect("DROP a")
-	if _, err := readArray(one.in); err != io.EOF {
+	if _, err := ReadArray(one.in); err != io.EOF {
 		t.Errorf("on the silent connection: %v", err)
 	}
 	again := send(p, "a")
@@ -282,7 +282,7 @@
 	p, _ := newPools(t, c.addr())
 	body := strings.Repeat("\r\n$3\x00", 9600)
 	p.Send(router.Attempt{Request: &router.Request{ID: "a", Body: []byte(body)}, Server: "s-1"})
-	parts, err := readArray(c.accept().in)
+	parts, err := ReadArray(c.accept().in)
 	if err != nil || string(parts[3]) != body {
 		t.Errorf("%d bytes, %v", len(parts), err)
 	}
--- /dev/null
+++ b/lab/local/load.go
@@ -0,0 +1,156 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"spantack/internal/msgpackrpc"
+	"spantack/internal/router"
+	"spantack/standin/tier"
+)
+
+// Classes of the load, as in Settings.
+var Classes = []string{"screen-video", "catalogue", "stock-report"}
+
+// Load is what clients ask for: so many requests, one every Every, from a number of connections to each router.
+type Load struct {
+	Seed     uint64
+	Requests int
+	Every    time.Duration
+	Conns    int // to each router
+	Families int // tenants, told apart by the family of their objects
+	Objects  int // of each family
+	// Flood lets one family ask Times as much as the others together.
+	Flood int
+	Times float64
+	Tick  func(done int)
+}
+
+// Count is what became of the requests of one class.
+type Count struct {
+	Served, Refused, Failed, Wrong, Lost int
+	Took                                 *hdrhistogram.Histogram // microseconds, of served ones
+}
+
+// Report is what became of a load.
+type Report struct {
+	Class  map[string]*Count
+	Family []Count
+}
+
+// All sums up the classes.
+func (r *Report) All() (sum Count) {
+	for _, c := range r.Class {
+		sum.Served += c.Served
+		sum.Refused += c.Refused
+		sum.Failed += c.Failed
+		sum.Wrong += c.Wrong
+		sum.Lost += c.Lost
+	}
+	return sum
+}
+
+// Object names an object of a family: its first two digits are the family's.
+func Object(family, n int) string {
+	return fmt.Sprintf("%02x%014x", family, uint64(n)*0x9e3779b97f4a7c15>>8)
+}
+
+// Run sends the load and waits for all answers. The requests and their order are the seed's; their times are the clock's.
+func (d *Deployment) Run(ctx context.Context, load Load) (*Report, error) {
+	rep := &Report{Class: map[string]*Count{}, Family: make([]Count, load.Families)}
+	for _, c := range Classes {
+		rep.Class[c] = &Count{Took: hdrhistogram.New(1, 60_000_000, 3)}
+	}
+	var clients []*msgpackrpc.Client
+	defer func() {
+		for _, c := range clients {
+			c.Close()
+		}
+	}()
+	for _, r := range d.Routers {
+		for range load.Conns {
+			c, err := msgpackrpc.Dial(r.Addr, 1000)
+			if err != nil {
+				return nil, err
+			}
+			clients = append(clients, c)
+		}
+	}
+	rng := rand.New(rand.NewPCG(load.Seed, 0x10ad))
+	var (
+		mu   sync.Mutex
+		open sync.WaitGroup
+		done int
+	)
+	tick := time.NewTicker(max(load.Every, time.Microsecond))
+	defer tick.Stop()
+	for i := range load.Requests {
+		select {
+		case <-ctx.Done():
+			open.Wait()
+			return rep, ctx.Err()
+		case <-tick.C:
+		}
+		family := rng.IntN(load.Families)
+		if load.Times > 0 && rng.Float64() < load.Times/(1+load.Times) {
+			family = load.Flood
+		}
+		class := Classes[0]
+		if u := rng.Float64(); u > 0.95 {
+			class = Classes[2]
+		} else if u > 0.5 {
+			class = Classes[1]
+		}
+		q := router.Request{ID: fmt.Sprintf("%08x%08x", load.Seed&math.MaxUint32, i), Class: class, Object: Object(family, rng.IntN(load.Objects)),
+			Group: int64(family), SizeKb: 20, Allow: 3000}
+		if class == Classes[0] {
+			q.Part = int64(rng.IntN(6))
+		}
+		if class == Classes[2] {
+			q.Key, q.Body = "key-"+q.ID, []byte("stock")
+		}
+		client := clients[rng.IntN(len(clients))]
+		open.Go(func() {
+			begin := time.Now()
+			a, err := client.Do(ctx, q)
+			took := time.Since(begin)
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+			if load.Tick != nil {
+				load.Tick(done)
+			}
+			for _, c := range []*Count{rep.Class[class], &rep.Family[family]} {
+				c.book(&q, a, err, took)
+			}
+		})
+	}
+	open.Wait()
+	return rep, nil
+}
+
+func (c *Count) book(q *router.Request, a router.Answer, err error, took time.Duration) {
+	switch {
+	case errors.Is(err, msgpackrpc.ErrClosed), err != nil:
+		c.Lost++
+	case a.Verdict == router.Refused:
+		c.Refused++
+	case a.Verdict != router.Served:
+		c.Failed++
+	case !bytes.Equal(a.Body, tier.Body(q.Object, fmt.Sprint(q.Part))):
+		c.Wrong++
+	default:
+		c.Served++
+		if c.Took != nil {
+			_ = c.Took.RecordValue(took.Microseconds())
+		}
+	}
+}
--- /dev/null
+++ b/lab/local/local.go
@@ -0,0 +1,291 @@
+// Package local brings up a small deployment on loopback: stand-ins for depot caches, area cache, head office and notice
+// board, and real router processes between them.
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"spantack/internal/clock"
+	"spantack/internal/msgpackrpc"
+	"spantack/standin/board"
+	"spantack/standin/tier"
+)
+
+// Options describe a deployment of one depot.
+type Options struct {
+	Routers  int
+	Caches   int
+	Features string // text of a features file; empty: none
+	Script   func(tier.Get) tier.Fault
+	Delay    time.Duration // of a cache; above it three times as much
+	Binary   string        // the router; empty: built for the purpose
+}
+
+// Kinds of server, by their places in the settings.
+const (
+	kindCache = iota
+	kindArea
+	kindOrigin
+)
+
+// Deployment is one that runs.
+type Deployment struct {
+	Ledger  *tier.Ledger
+	Board   *board.Board
+	Caches  []*tier.Server
+	Routers []*Router
+
+	dir     string
+	opt     Options
+	binary  string
+	mu      sync.Mutex
+	servers map[string]*tier.Server
+	next    uint32
+	known   []board.Server
+}
+
+// Router is one router process.
+type Router struct {
+	Addr string
+	Log  string // path of its log
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// upWithin is how long a router may take until it is ready, in milliseconds.
+const upWithin = 10_000
+
+// Build compiles the router into a folder. It needs the Go tool chain and the project's sources around.
+func Build(dir string) (string, error) {
+	binary := filepath.Join(dir, "spantack")
+	cmd := exec.Command("go", "build", "-o", binary, "spantack/cmd/spantack")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build of the router: %w: %s", err, bytes.TrimSpace(out))
+	}
+	return binary, nil
+}
+
+// Start brings a deployment up; what it started before an error is ended again.
+func Start(ctx context.Context, opt Options) (d *Deployment, err error) {
+	dir, err := os.MkdirTemp("", "spantack-local-")
+	if err != nil {
+		return nil, err
+	}
+	d = &Deployment{Ledger: tier.NewLedger(), dir: dir, opt: opt, binary: opt.Binary, servers: map[string]*tier.Server{}}
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, d.Stop())
+		}
+	}()
+	if d.binary == "" {
+		if d.binary, err = Build(dir); err != nil {
+			return d, err
+		}
+	}
+	if d.Board, err = board.Listen(); err != nil {
+		return d, err
+	}
+	for _, kind := range []byte{kindOrigin, kindArea} {
+		if _, err = d.add(kind, 0); err != nil {
+			return d, err
+		}
+	}
+	for range opt.Caches {
+		s, err := d.add(kindCache, 0)
+		if err != nil {
+			return d, err
+		}
+		d.Caches = append(d.Caches, s)
+	}
+	d.Board.List(true, d.known...)
+	if opt.Features != "" {
+		if err = d.WriteFeatures(opt.Features); err != nil {
+			return d, err
+		}
+	}
+	for i := range opt.Routers {
+		r, err := d.start(i)
+		if err != nil {
+			return d, err
+		}
+		d.Routers = append(d.Routers, r)
+	}
+	for _, r := range d.Routers {
+		if err = r.await(ctx); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+// add starts a server and puts it into the list that routers begin with.
+func (d *Deployment) add(kind byte, started int64) (*tier.Server, error) {
+	d.next++
+	delay := d.opt.Delay
+	if kind != kindCache {
+		delay *= 3
+	}
+	opt := tier.Options{ID: d.next * 2654435761, Origin: kind == kindOrigin, Delay: delay, Source: d.server, Ledger: d.Ledger}
+	if kind == kindCache {
+		opt.Script = d.opt.Script
+	}
+	s, err := tier.Listen(opt)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.servers[s.Name()] = s
+	d.mu.Unlock()
+	zone := byte(1)
+	if kind != kindCache {
+		zone = 0
+	}
+	d.known = append(d.known, board.Server{ID: opt.ID, Addr: s.Addr(), Zone: zone, Kind: kind, Weight: 4, Started: started})
+	return s, nil
+}
+
+func (d *Deployment) server(id string) *tier.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.servers[id]
+}
+
+// WriteFeatures replaces the features file; routers take it on SIGHUP.
+func (d *Deployment) WriteFeatures(text string) error {
+	return os.WriteFile(filepath.Join(d.dir, "features.jsonnet"), []byte(text), 0o600)
+}
+
+// Settings are those of the deployment: the three classes of a depot.
+func Settings(routers int) map[string]any {
+	const ms = 1000
+	class := func(name string, promise, deadline int, gain float64, effect string) map[string]any {
+		return map[string]any{"Name": name, "AimStretch": 2, "Promise": promise * ms, "Deadline": deadline * ms, "Gain": gain, "LateWorth": 0.2,
+			"Group": "all", "Idempotency": effect, "MemorySpan": 6000 * ms}
+	}
+	return map[string]any{
+		"Classes": []any{class("screen-video", 600, 6000, 2, "read_like"), class("catalogue", 400, 3000, 1, "read_like"),
+			class("stock-report", 600, 3000, 3, "idempotency_key")},
+		"Discovery": "automatic",
+		"Extra": map[string]any{"FreshFor": []int{0, 20_000 * ms, 0}, "GraceFor": []int{0, 10_000 * ms, 0}, "HeedWithin": 300 * ms,
+			"MasterKind": kindOrigin, "ShieldKind": kindArea, "NotesGiven": "all", "PaceKbPerS": 1000, "ParentFloor": 0.1, "ParentWarmsIn": 17_000 * ms,
+			"PassOn": []bool{false, false, true}, "PurgeTakes": 6000 * ms, "SeatsByZone": []int{0, routers}, "Straight": true, "UpperFallMultiple": 2},
+		"Guarantees": map[string]any{"AskWithin": 10_000 * ms, "Cold": 11_000 * ms, "ColdFrom": 0.3, "Fall": 3000 * ms, "GraceToAnswer": 8 * ms,
+			"StopSendingWithin": 500 * ms, "TipMultiple": 3},
+		"Kinds":       []string{"small-box", "area", "head-office"},
+		"Permissions": map[string]any{"Cancelling": true, "DialTimeout": 400 * ms, "IdleClose": 30_000 * ms, "MaxAttempts": 8, "MaxRetryAfter": 1000 * ms, "MaxStreams": 32, "RetryAfter": true},
+		"Siblings":    routers, "WeightSource": "nominal", "Zone": "depot-00", "Zones": []string{"hub", "depot-00"},
+	}
+}
+
+func (d *Deployment) start(i int) (*Router, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // finds a free port
+	if err != nil {
+		return nil, err
+	}
+	addr := l.Addr().String()
+	l.Close()
+	name := fmt.Sprintf("n%d", i)
+	text, err := json.Marshal(map[string]any{"seed": fmt.Sprintf("%016x", 7919*(i+1)), "limits": map[string]any{"memory_mb": 192, "sockets": 512},
+		"board": d.Board.Addr(), "known": map[string]any{"rev": 0, "notices": []any{}}, "settings": Settings(d.opt.Routers)})
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(d.dir, name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return nil, err
+	}
+	r := &Router{Addr: addr, Log: filepath.Join(d.dir, name+".log"), done: make(chan error, 1)}
+	log, err := os.Create(r.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close() // the process has its own
+	r.cmd = exec.Command(d.binary)
+	if d.opt.Features != "" {
+		r.cmd.Args = append(r.cmd.Args, "--features", filepath.Join(d.dir, "features.jsonnet"))
+	}
+	r.cmd.Env = append(os.Environ(), "RELAY_NAME="+name, "RELAY_LISTEN="+addr, "RELAY_CONFIG="+file)
+	r.cmd.Stdout, r.cmd.Stderr = log, log
+	if err := r.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { r.done <- r.cmd.Wait() }()
+	return r, nil
+}
+
+// await returns once the router says that it is ready.
+func (r *Router) await(ctx context.Context) error {
+	now := &clock.Clock{}
+	for begin := now.Now(); now.Now() < begin+upWithin; {
+		select {
+		case err := <-r.done:
+			r.done <- err
+			text, _ := os.ReadFile(r.Log) // the log says more than the exit code, if there is one
+			return fmt.Errorf("router ended: %w: %s", err, bytes.TrimSpace(text))
+		case <-ctx.Done():
+			return ctx.Err()
+		default:
+		}
+		if c, err := msgpackrpc.Dial(r.Addr, 200); err == nil {
+			ready, err := c.Ready(ctx)
+			c.Close()
+			if err == nil && ready {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("router at %s not ready within %d ms", r.Addr, upWithin)
+}
+
+// Signal sends a signal to the router's process.
+func (r *Router) Signal(s syscall.Signal) error { return r.cmd.Process.Signal(s) }
+
+// Kill ends a router as a crash would.
+func (r *Router) Kill() error {
+	if err := r.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	err := <-r.done
+	r.done <- err
+	return nil
+}
+
+// Stop ends all that was started and removes what it wrote. Routers end by SIGTERM, or are killed if they do not.
+func (d *Deployment) Stop() error {
+	var errs []error
+	for _, r := range d.Routers {
+		if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			errs = append(errs, err)
+		}
+	}
+	for _, r := range d.Routers {
+		select {
+		case err := <-r.done:
+			r.done <- err
+		case <-time.After(6 * time.Second):
+			errs = append(errs, fmt.Errorf("router at %s did not end", r.Addr), r.cmd.Process.Kill())
+		}
+	}
+	d.mu.Lock()
+	servers := d.servers
+	d.mu.Unlock()
+	for _, s := range servers {
+		s.Close()
+	}
+	if d.Board != nil {
+		d.Board.Close()
+	}
+	return errors.Join(append(errs, os.RemoveAll(d.dir))...)
+}
--- /dev/null
+++ b/lab/local/local_test.go
@@ -0,0 +1,209 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"spantack/core/cells"
+	"spantack/internal/features"
+	"spantack/standin/tier"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "spantack-test-")
+	if err == nil {
+		binary, err = Build(dir)
+	}
+	if err != nil {
+		println(err.Error())
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// assignment puts four families into two cells; a version in the other order exchanges them.
+func assignment(version int64, first, second string) string {
+	spec := cells.Spec{Version: version, Scheme: cells.Fixed,
+		Cells:   []cells.Cell{{Name: "one", Share: 0.5}, {Name: "two", Share: 0.5}},
+		Tenants: []cells.Tenant{{Name: "loud", Cell: first}, {Name: "rest", Cell: second}},
+		Keys:    []cells.Key{{Families: []int{0, 0}, Tenant: "loud"}, {Tenant: "rest"}},
+		Budget:  cells.Budget{RequestsPerS: 3000, Open: 200},
+	}
+	text, err := json.Marshal(map[string]any{"cells": struct {
+		Enabled bool `json:"enabled"`
+		cells.Spec
+	}{true, spec}})
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+func start(t *testing.T, opt Options) *Deployment {
+	t.Helper()
+	opt.Binary = binary
+	d, err := Start(t.Context(), opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Stop(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	return d
+}
+
+func cellOf(t *testing.T, d *Deployment, text string) map[string]string {
+	t.Helper()
+	f, err := features.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, c := range d.Caches {
+		names = append(names, c.Name())
+	}
+	cell := map[string]string{}
+	for i, in := range f.Spec().Divide(names) {
+		for _, name := range in {
+			cell[name] = f.Spec().Cells[i].Name
+		}
+	}
+	return cell
+}
+
+// Three routers, a flood by one tenant whose caches also fail now and then: no request of any tenant reaches a cache
+// outside its cell, every request has one right answer, and no two attempts of one were out at once.
+func TestFloodStaysInItsCell(t *testing.T) {
+	text := assignment(1, "one", "two")
+	d := start(t, Options{Routers: 3, Caches: 6, Delay: 2 * time.Millisecond, Features: text, Script: func(g tier.Get) tier.Fault {
+		if strings.HasPrefix(g.Object, "00") && strings.HasSuffix(g.ID, "7") {
+			return tier.Err
+		}
+		return tier.None
+	}})
+	const requests = 3000
+	rep, err := d.Run(t.Context(), Load{Seed: 5, Requests: requests, Every: 700 * time.Microsecond, Conns: 2, Families: 4, Objects: 200, Flood: 0, Times: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := rep.All()
+	if n := all.Served + all.Refused + all.Failed; n != requests || all.Wrong+all.Lost > 0 {
+		t.Errorf("answers: %+v, want %d in all, none wrong or lost", all, requests)
+	}
+	if all.Served < requests/2 {
+		t.Errorf("only %d served", all.Served)
+	}
+	for family, c := range rep.Family[1:] {
+		if c.Failed > 0 {
+			t.Errorf("family %d: %d failed", family+1, c.Failed)
+		}
+	}
+	cell := cellOf(t, d, text)
+	seen := map[string]int{}
+	for _, g := range d.Ledger.Gets() {
+		want := "two"
+		if strings.HasPrefix(g.Object, "00") {
+			want = "one"
+		}
+		home, isCache := cell[g.Server]
+		if isCache && home != want {
+			t.Fatalf("object %s reached %s of cell %s", g.Object, g.Server, home)
+		}
+		seen[home]++
+	}
+	if seen["one"] == 0 || seen["two"] == 0 {
+		t.Errorf("attempts by cell: %v", seen)
+	}
+	if o := d.Ledger.Overlaps(); len(o) > 0 {
+		t.Errorf("two attempts out at once: %v", o)
+	}
+}
+
+// SIGHUP under load: a file that can't be used changes nothing, a good one moves the tenants to each other's cells, and
+// no request is lost on the way.
+func TestAssignmentChangesInService(t *testing.T) {
+	before, after := assignment(1, "one", "two"), assignment(2, "two", "one")
+	d := start(t, Options{Routers: 2, Caches: 4, Delay: time.Millisecond, Features: before})
+	hangUp := func(text, says string) {
+		if err := d.WriteFeatures(text); err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range d.Routers {
+			if err := r.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, r := range d.Routers { // the log tells when it is done; the test's own limit ends a wait for nothing
+			for {
+				log, err := os.ReadFile(r.Log)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if strings.Contains(string(log), says) {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}
+	half := func(seed uint64) {
+		rep, err := d.Run(t.Context(), Load{Seed: seed, Requests: 300, Every: time.Millisecond, Conns: 2, Families: 4, Objects: 50})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if all := rep.All(); all.Served != 300 {
+			t.Errorf("answers: %+v", all)
+		}
+	}
+	homes := func(from int) map[string]map[string]bool {
+		cell := cellOf(t, d, before)
+		seen := map[string]map[string]bool{"loud": {}, "rest": {}}
+		for _, g := range d.Ledger.Gets()[from:] {
+			who := "rest"
+			if strings.HasPrefix(g.Object, "00") {
+				who = "loud"
+			}
+			if home := cell[g.Server]; home != "" {
+				seen[who][home] = true
+			}
+		}
+		return seen
+	}
+	half(1)
+	hangUp(strings.Replace(after, `"two"`, `"three"`, 1), "new features can't be used")
+	half(2)
+	if got := homes(0); !got["loud"]["one"] || got["loud"]["two"] || got["rest"]["one"] {
+		t.Errorf("before: %v", got)
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ran := make(chan *Report, 1)
+	go func() {
+		rep, _ := d.Run(ctx, Load{Seed: 3, Requests: 600, Every: time.Millisecond, Conns: 2, Families: 4, Objects: 50})
+		ran <- rep
+	}()
+	hangUp(after, `"cells":2`)
+	if all := (<-ran).All(); all.Served != 600 {
+		t.Errorf("while it changed: %+v", all)
+	}
+	from := len(d.Ledger.Gets())
+	half(4)
+	if got := homes(from); !got["loud"]["two"] || got["loud"]["one"] || got["rest"]["two"] {
+		t.Errorf("after: %v", got)
+	}
+}
--- /dev/null
+++ b/standin/tier/tier.go
@@ -0,0 +1,348 @@
+// Package tier is a stand-in for depot caches, area caches and the head office: RESP servers on loopback that hold, fill
+// and fail on a script, and a ledger of what reached them.
+package tier
+
+import (
+	"bufio"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"spantack/internal/resp"
+)
+
+// Fault is what a server does to a request instead of serving it.
+type Fault int
+
+// The faults.
+const (
+	None   Fault = iota
+	Err          // answers ERR
+	Spoil        // answers what can't be read, and closes
+	Silent       // never answers
+	Busy         // answers BUSY
+)
+
+// Get is one attempt as it arrived.
+type Get struct {
+	Server string
+	ID     string
+	Class  string
+	Object string
+	Part   string
+	Next   string // where a miss is filled from
+	Held   bool   // the source gives only what it holds
+	At     time.Time
+}
+
+// Ledger notes what reached the servers of one deployment, and judges what can be judged from there.
+type Ledger struct {
+	mu      sync.Mutex
+	gets    []Get
+	out     map[string]int
+	overlap []string
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{out: map[string]int{}} }
+
+// Gets are all attempts so far.
+func (l *Ledger) Gets() []Get {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Get(nil), l.gets...)
+}
+
+// Overlaps are the requests that had two attempts at servers at once.
+func (l *Ledger) Overlaps() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.overlap...)
+}
+
+func (l *Ledger) begin(g Get) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gets = append(l.gets, g)
+	if l.out[g.ID]++; l.out[g.ID] > 1 {
+		l.overlap = append(l.overlap, g.ID)
+	}
+}
+
+func (l *Ledger) end(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out[id]--; l.out[id] <= 0 {
+		delete(l.out, id)
+	}
+}
+
+// Options describe a server.
+type Options struct {
+	ID     uint32 // in the list of servers
+	Origin bool   // holds everything
+	Delay  time.Duration
+	Source func(id string) *Server // finds the servers that fills come from
+	Script func(Get) Fault         // nil: no faults
+	Ledger *Ledger
+}
+
+// Server is one server of the tier.
+type Server struct {
+	opt Options
+	l   net.Listener
+
+	mu    sync.Mutex
+	held  map[string]time.Time // by object and part: when the head office gave it out
+	conns map[net.Conn]bool
+	wg    sync.WaitGroup
+	gone  bool
+}
+
+// mostAtOnce bounds what one connection has open; more are answered BUSY.
+const mostAtOnce = 64
+
+// Listen starts a server on loopback.
+func Listen(opt Options) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{opt: opt, l: l, held: map[string]time.Time{}, conns: map[net.Conn]bool{}}
+	s.wg.Go(s.accept)
+	return s, nil
+}
+
+// Name is the server's id as requests give it.
+func (s *Server) Name() string { return fmt.Sprintf("s-%08x", s.opt.ID) }
+
+// Addr is where it listens.
+func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.l.Addr().String()) }
+
+// Close ends the server as a killed process ends: its connections break.
+func (s *Server) Close() {
+	s.l.Close()
+	s.mu.Lock()
+	s.gone = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.gone {
+			c.Close()
+		} else {
+			s.conns[c] = true
+		}
+		s.mu.Unlock()
+		s.wg.Go(func() {
+			s.serve(c)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+}
+
+// Body is what the head office has under an object and part: whoever asked can tell that it is whole.
+func Body(object, part string) []byte {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s/%s", object, part)
+	sum := h.Sum64()
+	body := make([]byte, 200+sum%1800)
+	for i := range body {
+		body[i] = byte(sum >> (i % 8 * 8))
+	}
+	return body
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	var (
+		write sync.Mutex
+		open  sync.WaitGroup
+		mu    sync.Mutex
+		drops = map[string]chan struct{}{}
+	)
+	defer open.Wait()
+	say := func(parts ...[]byte) {
+		write.Lock()
+		defer write.Unlock()
+		_, _ = c.Write(resp.AppendArray(nil, parts...)) // a client that is gone needs no answer
+	}
+	in := bufio.NewReader(c)
+	defer func() { // what is open on a connection that closes is given up
+		mu.Lock()
+		defer mu.Unlock()
+		for _, d := range drops {
+			close(d)
+		}
+		drops = nil
+	}()
+	for {
+		parts, err := resp.ReadArray(in)
+		if err != nil {
+			return
+		}
+		switch {
+		case len(parts) == 2 && string(parts[0]) == "PING":
+			say(parts[1], []byte("UP"))
+		case len(parts) == 2 && string(parts[0]) == "DROP":
+			mu.Lock()
+			if d := drops[string(parts[1])]; d != nil {
+				close(d)
+				delete(drops, string(parts[1]))
+				s.opt.Ledger.end(string(parts[1]))
+			}
+			mu.Unlock()
+		case len(parts) == 4 && string(parts[0]) == "GET":
+			g := parse(s.Name(), parts)
+			d := make(chan struct{})
+			mu.Lock()
+			full := len(drops) >= mostAtOnce
+			if !full {
+				drops[g.ID] = d
+				s.opt.Ledger.begin(g)
+			}
+			mu.Unlock()
+			if full {
+				say([]byte(g.ID), []byte("BUSY"), []byte("-"))
+				continue
+			}
+			open.Go(func() {
+				answer, fault := s.answer(g, d)
+				mu.Lock()
+				_, still := drops[g.ID]
+				if still {
+					delete(drops, g.ID)
+					s.opt.Ledger.end(g.ID)
+				}
+				mu.Unlock()
+				switch {
+				case !still || fault == Silent:
+				case fault == Spoil:
+					write.Lock()
+					_, _ = c.Write([]byte("spoilt\r\n"))
+					write.Unlock()
+					c.Close()
+				default:
+					say(answer...)
+				}
+			})
+		default:
+			return
+		}
+	}
+}
+
+// parse reads GET ID FIELDS BODY.
+func parse(server string, parts [][]byte) Get {
+	g := Get{Server: server, ID: string(parts[1]), At: time.Now()}
+	for pair := range strings.SplitSeq(string(parts[2]), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "sort":
+			g.Class = value
+		case "asset":
+			g.Object = value
+		case "slice":
+			g.Part = value
+		case "next":
+			g.Next = value
+		case "ways":
+			g.Held = strings.Contains(value, "held")
+		}
+	}
+	return g
+}
+
+// answer works a request out; it waits no longer than until the request is dropped.
+func (s *Server) answer(g Get, dropped <-chan struct{}) ([][]byte, Fault) {
+	fault := None
+	if s.opt.Script != nil {
+		fault = s.opt.Script(g)
+	}
+	wait := s.opt.Delay
+	if fault == Silent {
+		wait = time.Hour
+	}
+	asked := time.Now()
+	var made time.Time
+	note, held := "TCP_HIT", false
+	if made, held = s.holds(g); !held && fault == None && g.Next != "" && s.opt.Source != nil {
+		if src := s.opt.Source(g.Next); src != nil {
+			wait += src.opt.Delay
+			var deep bool
+			made, held, deep = src.fill(g)
+			if note = "TCP_MISS"; deep {
+				note = "TCP_MISS_ROOT"
+			}
+		}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-dropped:
+		return nil, Silent
+	}
+	id := []byte(g.ID)
+	switch {
+	case fault == Err:
+		return [][]byte{id, []byte("ERR"), []byte("-")}, None
+	case fault == Busy:
+		return [][]byte{id, []byte("BUSY"), []byte("-")}, None
+	case fault != None:
+		return nil, fault
+	case !held:
+		return [][]byte{id, []byte("MISS"), []byte("-")}, None
+	}
+	s.keep(g, made)
+	fields := "n=" + note + ",t0=" + strconv.FormatInt(made.UnixMilli(), 10)
+	if note != "TCP_HIT" {
+		fields += ",slow=" + strconv.FormatInt(time.Since(asked).Milliseconds(), 10)
+	}
+	return [][]byte{id, []byte("OK"), []byte(fields), Body(g.Object, g.Part)}, None
+}
+
+func (s *Server) holds(g Get) (time.Time, bool) {
+	if s.opt.Origin {
+		return time.Now(), true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	made, held := s.held[g.Object+"/"+g.Part]
+	return made, held
+}
+
+func (s *Server) keep(g Get, made time.Time) {
+	if s.opt.Origin {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[g.Object+"/"+g.Part] = made
+}
+
+// fill gives a copy to a server of the tier below; an area cache without one takes it from the head office.
+func (s *Server) fill(g Get) (made time.Time, held, deep bool) {
+	if made, held := s.holds(g); held || g.Held {
+		return made, held, s.opt.Origin
+	}
+	s.keep(g, time.Now())
+	return time.Now(), true, true
+}
