--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -266,5 +266,5 @@
 			line = line.Int64("refused: "+cells.Reason(why).String(), count)
 		}
 	}
-	line.Interface("cells", p.Cells).Interface("heavy", p.Heavy).Msg("cells")
+	line.Interface("cells", p.Cells).Interface("heavy", p.Heavy).Interface("objects", p.Objects).Msg("cells")
 }
--- /dev/null
+++ b/core/cells/cells_test.go
@@ -0,0 +1,633 @@
+package cells
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spantack/internal/testseed"
+	"spantack/rules"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+const (
+	msec = int64(1000)
+	sec  = 1000 * msec
+)
+
+// two cells: "loud" alone in one, "calm" and "quiet" in the other.
+func two() *Spec {
+	return &Spec{Version: 1, Scheme: Fixed,
+		Cells:   []Cell{{Name: "one", Share: 0.5}, {Name: "two", Share: 0.5}},
+		Tenants: []Tenant{{Name: "loud", Cell: "one"}, {Name: "calm", Cell: "two"}, {Name: "quiet", Cell: "two"}},
+		Keys:    []Key{{Families: []int{0, 9}, Tenant: "loud"}, {Prefix: "aa", Tenant: "calm"}, {Named: "q", Tenant: "quiet"}, {Tenant: "calm"}},
+	}
+}
+
+func settings() rules.Settings {
+	return rules.Settings{
+		Classes: []rules.Class{
+			{Name: "page", AimStretch: 2, Deadline: 3 * sec, Promise: 300 * msec, Gain: 1, Group: "all", Idempotency: "read_like"},
+			{Name: "report", Deadline: 3 * sec, Promise: 600 * msec, Gain: 3, Group: "all", Idempotency: "idempotency_key", MemorySpan: 6 * sec},
+		},
+		Discovery: "automatic",
+		Extra: rules.Extra{FreshFor: []int64{0, 0}, GraceFor: []int64{0, 0}, MasterKind: 2, ShieldKind: 1, NotesGiven: "all", PaceKbPerS: 1000,
+			PassOn: []bool{false, true}, SeatsByZone: []int{0, 2}, Straight: true, ParentFloor: 0.1, ParentWarmsIn: 20 * sec, UpperFallMultiple: 2},
+		Guarantees:   rules.Guarantees{Cold: 10 * sec, ColdFrom: 0.3, Fall: 3 * sec, StopSendingWithin: 500 * msec, TipMultiple: 3},
+		Kinds:        []string{"box", "area", "origin"},
+		Permissions:  rules.Permissions{Cancelling: true, MaxAttempts: 6, MaxRetryAfter: sec, RetryAfter: true},
+		Siblings:     2,
+		WeightSource: "nominal",
+		Zone:         "z",
+		Zones:        []string{"hub", "z"},
+	}
+}
+
+func rows(caches ...string) []rules.Row {
+	list := []rules.Row{{Node: "o", Zone: "hub", Kind: "origin", Status: "healthy", Weight: 100}, {Node: "p0", Zone: "hub", Kind: "area", Status: "healthy", Weight: 50},
+		{Node: "p1", Zone: "hub", Kind: "area", Status: "healthy", Weight: 50}}
+	for _, name := range caches {
+		list = append(list, rules.Row{Node: name, Zone: "z", Kind: "box", Status: "healthy", Weight: 10})
+	}
+	return list
+}
+
+func names(n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprintf("s-%08x", uint32(i+1)*2654435761))
+	}
+	return list
+}
+
+func module(t testing.TB, spec *Spec, caches ...string) *Module {
+	t.Helper()
+	m, err := NewModule(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Confine(sec, spec); err != nil {
+		t.Fatal(err)
+	}
+	m.Step(sec, []rules.Event{{Kind: rules.Members, Mode: "replace", Rows: rows(caches...)}})
+	return m
+}
+
+// asker sends requests and ends each with a good answer at once.
+type asker struct {
+	t   testing.TB
+	m   *Module
+	n   int
+	now int64
+}
+
+// ask returns where the first attempt went, "" for a refusal, "fail" for a failure.
+func (a *asker) ask(ev rules.Event) string {
+	a.n++
+	ev.Kind, ev.Call, ev.ExpiresIn = rules.Request, fmt.Sprint("r", a.n), 3*sec
+	if ev.Class == "" {
+		ev.Class = "page"
+	}
+	for _, act := range a.m.Step(a.now, []rules.Event{ev}) {
+		switch act.Kind {
+		case rules.Get:
+			a.m.Step(a.now, []rules.Event{{Kind: rules.Outcome, Call: ev.Call, Node: act.Node, Code: rules.Done, Note: 1, Rtt: 10 * msec, Final: true}})
+			return act.Node
+		case rules.Refuse:
+			if act.RetryAfter <= 0 || act.RetryAfter > sec {
+				a.t.Fatalf("refused with %d us to stay away", act.RetryAfter)
+			}
+			return ""
+		case rules.Fail:
+			return "fail"
+		}
+	}
+	a.t.Fatal("no answer")
+	return ""
+}
+
+func TestCheckNamesTheField(t *testing.T) {
+	for want, spoil := range map[string]func(*Spec){
+		"version: 0 is under 1":                 func(s *Spec) { s.Version = 0 },
+		"scheme: ":                              func(s *Spec) { s.Scheme = "round" },
+		"width: ":                               func(s *Spec) { s.Width = 2 },
+		"spare: ":                               func(s *Spec) { s.Spare = "one" },
+		"cells: 0 of them":                      func(s *Spec) { s.Cells = nil },
+		"cells: shares come to 1.5":             func(s *Spec) { s.Cells[0].Share = 1 },
+		"cells[0].share: ":                      func(s *Spec) { s.Cells[0].Share = math.NaN() },
+		"cells[1].name: \"one\" is named twice": func(s *Spec) { s.Cells[1].Name = "one" },
+		"cells[0].spill: \"three\" is no other cell; cells are one, two": func(s *Spec) { s.Cells[0].Spill = "three" },
+		"cells[0].spill: \"one\"":                  func(s *Spec) { s.Cells[0].Spill = "one" },
+		"tenants[1].name: \"loud\" is named twice": func(s *Spec) { s.Tenants[1].Name = "loud" },
+		"tenants[2].cell: \"nine\" is no cell":     func(s *Spec) { s.Tenants[2].Cell = "nine" },
+		"tenants[0].in[z]: ":                       func(s *Spec) { s.Tenants[0].In = map[string]string{"z": "nine"} },
+		"tenants[0].weight: ":                      func(s *Spec) { s.Tenants[0].Weight = -1 },
+		"keys[0].tenant: \"who\" is no tenant":     func(s *Spec) { s.Keys[0].Tenant = "who" },
+		"keys[0].families: ":                       func(s *Spec) { s.Keys[0].Families = []int{5, 2} },
+		"keys[1].prefix: ":                         func(s *Spec) { s.Keys[1].Prefix = "AA" },
+		"keys[3]: the last line":                   func(s *Spec) { s.Keys = s.Keys[:4]; s.Keys[3].Class = "page" },
+		"keys[1]: no request gets here":            func(s *Spec) { s.Keys[1] = Key{Families: []int{3, 4}, Prefix: "b", Tenant: "calm"} },
+		"budget.open: ":                            func(s *Spec) { s.Budget.Open = -1 },
+	} {
+		s := two()
+		spoil(s)
+		if err := s.Check(); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want %s...", err, want)
+		}
+	}
+	if err := two().Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Lines that together match all that a later one does shadow it, though none does alone.
+func TestShadowOfManyLines(t *testing.T) {
+	s := two()
+	s.Keys = []Key{{Families: []int{0, 100}, Tenant: "loud"}, {Families: []int{101, 255}, Class: "page", Tenant: "loud"}, {Families: []int{50, 255}, Class: "page", Prefix: "0", Tenant: "calm"}, {Tenant: "calm"}}
+	if err := s.Check(); err == nil || !strings.HasPrefix(err.Error(), "keys[2]: ") {
+		t.Errorf("got %v", err)
+	}
+	s.Keys[2].Class = ""
+	if err := s.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func drawKeys(t *rapid.T) []Key {
+	hex := rapid.StringMatching("[0-3]{0,3}")
+	keys := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Key {
+		k := Key{Prefix: hex.Draw(t, "prefix"), Class: rapid.SampledFrom([]string{"", "page", "report"}).Draw(t, "class"),
+			Named: rapid.SampledFrom([]string{"", "", "q"}).Draw(t, "named"), Tenant: "loud"}
+		if rapid.Bool().Draw(t, "families") {
+			first := rapid.IntRange(0, 255).Draw(t, "first")
+			k.Families = []int{first, rapid.IntRange(first, 255).Draw(t, "last")}
+		}
+		return k
+	}), 0, 40).Draw(t, "keys")
+	return append(keys, Key{Tenant: "calm"})
+}
+
+// The table finds what a look through all lines finds; and a line that Check lets through is found by some request.
+func TestTableAgreesWithThePlainWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := drawKeys(t)
+		table := newTable(keys)
+		for range 30 {
+			family, class := rapid.IntRange(0, 255).Draw(t, "f"), rapid.SampledFrom([]string{"page", "report", "other"}).Draw(t, "c")
+			object, named := rapid.StringMatching("[0-4]{0,4}").Draw(t, "o"), rapid.SampledFrom([]string{"", "q", "x"}).Draw(t, "n")
+			if got, want := table.find(family, class, object, named), plainFind(keys, family, class, object, named); got != want {
+				t.Fatalf("%d %q %q %q: line %d, want %d", family, class, object, named, got, want)
+			}
+		}
+		if err := shadowed(keys); err != nil {
+			return
+		}
+		for i, k := range keys {
+			found := false
+			for f := 0; f < families && !found; f++ {
+				for _, class := range []string{"page", "report", "other"} {
+					for _, tail := range []string{"", "f", "0", "1", "2", "3"} {
+						object := k.Prefix + tail
+						found = found || plainFind(keys, f, class, object, k.Named) == i
+					}
+				}
+			}
+			if !found && len(k.Prefix) == 3 { // longer prefixes than any line's can't be shadowed by parts
+				t.Fatalf("line %d of %+v is never found, and Check said nothing", i, keys)
+			}
+		}
+	})
+}
+
+func TestQuotasComeOutWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 80).Draw(t, "caches")
+		cells := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Cell {
+			return Cell{Share: rapid.Float64Range(0.001, 1).Draw(t, "share")}
+		}), 1, 20).Draw(t, "cells")
+		sum := 0
+		for i, q := range quotas(cells, n) {
+			if sum += q; q < 0 || n >= len(cells) && q == 0 {
+				t.Fatalf("cell %d has %d of %d", i, q, n)
+			}
+		}
+		if sum != n {
+			t.Fatalf("%d places for %d caches", sum, n)
+		}
+	})
+}
+
+// A cache that is replaced by one of another name moves few others: stated in docs/cells.md.
+func TestReplacementMovesLittle(t *testing.T) {
+	cells := []Cell{{Name: "a", Share: 0.25}, {Name: "b", Share: 0.25}, {Name: "c", Share: 0.25}, {Name: "d", Share: 0.25}}
+	moved, places, worst, empty := 0, 0, 0, 0
+	for trial := range 300 {
+		caches := names(38)
+		before := divide(cells, caches)
+		few := names(trial + 13)[trial+1:]
+		for _, in := range plainDivide(cells, few) {
+			if len(in) == 0 {
+				empty++
+			}
+		}
+		gone := trial % 38
+		caches[gone] = fmt.Sprintf("s-%08x", uint32(trial+1000)*2654435761)
+		now := 0
+		for i, in := range divide(cells, caches) {
+			if len(in) < 9 || len(in) > 10 {
+				t.Fatalf("cell %d has %d of 38 caches", i, len(in))
+			}
+			for _, name := range in {
+				if name != caches[gone] && !slices.Contains(before[i], name) {
+					now++
+				}
+			}
+		}
+		moved += now
+		places += 37
+		worst = max(worst, now)
+	}
+	t.Logf("moved %.4f of the caches that stayed, %d at most; plain hashing of 12 caches left %d of 1200 cells empty", float64(moved)/float64(places), worst, empty)
+	if float64(moved)/float64(places) > 0.05 {
+		t.Errorf("%d of %d caches moved", moved, places)
+	}
+}
+
+func TestFewerCachesThanCells(t *testing.T) {
+	s := two()
+	s.Cells[0].Share, s.Cells[1].Share = 0.6, 0.4
+	m := module(t, s, "c0")
+	a := &asker{t: t, m: m, now: 2 * sec}
+	if got := a.ask(rules.Event{Group: 1, Object: "01"}); got != "c0" {
+		t.Errorf("the cell with the greater share is sent to %q", got)
+	}
+	if got := a.ask(rules.Event{Group: 99, Object: "01"}); got != "" {
+		t.Errorf("a cell without caches is sent to %q", got)
+	}
+	s.Version, s.Cells[1].Spill = 2, "one"
+	if err := m.Confine(2*sec, s); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.ask(rules.Event{Group: 99, Object: "01"}); got != "c0" {
+		t.Errorf("the named neighbour does not serve: %q", got)
+	}
+	if m.Stats.Spilled != 1 || m.Stats.Refused[NoCache] != 1 {
+		t.Errorf("%+v", m.Stats)
+	}
+}
+
+// The only cache of a cell drains, goes, and another comes: refused meanwhile, never spread over the other cell.
+func TestOnlyCacheOfACellIsLost(t *testing.T) {
+	m := module(t, two(), "c0", "c1")
+	a := &asker{t: t, m: m, now: 2 * sec}
+	home := a.ask(rules.Event{Group: 1, Object: "01"})
+	row := rows(home)[3]
+	for _, status := range []string{"cordoned", "deregistered"} {
+		row.Status = status
+		m.Step(a.now, []rules.Event{{Kind: rules.Members, Mode: "update", Rows: []rules.Row{row}}})
+		if status == "cordoned" {
+			for range 20 {
+				if got := a.ask(rules.Event{Group: 1, Object: fmt.Sprint(a.n)}); got != "" {
+					t.Fatalf("%s: sent to %s", status, got)
+				}
+			}
+		}
+	}
+	// One cache for two cells of equal shares: the first named has it.
+	one, other := a.ask(rules.Event{Group: 1, Object: "1"}), a.ask(rules.Event{Group: 99, Object: "1"})
+	if one == "" || other != "" {
+		t.Errorf("one cache left: cells sent to %q and %q", one, other)
+	}
+	m.Step(a.now, []rules.Event{{Kind: rules.Members, Mode: "update", Rows: rows("c7")[3:]}})
+	one, other = a.ask(rules.Event{Group: 1, Object: "2"}), a.ask(rules.Event{Group: 99, Object: "2"})
+	if one == "" || other == "" || one == other {
+		t.Errorf("two caches again: cells sent to %q and %q", one, other)
+	}
+}
+
+// Whatever the scheme, no request goes outside the caches that Explain names, and all of those are used.
+func TestConfinement(t *testing.T) {
+	caches := names(12)
+	for _, scheme := range []string{Fixed, Shuffle, Nested, Overflow} {
+		s := two()
+		s.Scheme = scheme
+		switch scheme {
+		case Shuffle, Nested:
+			s.Width = 2
+		case Overflow:
+			s.Cells = append(s.Cells, Cell{Name: "spare", Share: 0.25})
+			s.Cells[0].Share, s.Cells[1].Share, s.Spare = 0.375, 0.375, "spare"
+		}
+		m := module(t, s, caches...)
+		a := &asker{t: t, m: m, now: 2 * sec}
+		used := map[string]map[string]bool{}
+		for i := range 600 {
+			a.now += 10 * msec
+			ev := rules.Event{Group: int64(i % 20), Object: fmt.Sprintf("%02x", i)}
+			if i%3 == 0 {
+				ev.Tenant = "q"
+			}
+			why := s.Explain("z", caches, int(ev.Group), "page", ev.Object, ev.Tenant)
+			got := a.ask(ev)
+			if !slices.Contains(why.Caches, got) {
+				t.Fatalf("%s: %s of %s sent to %q, not one of %v", scheme, ev.Object, why.Tenant, got, why.Caches)
+			}
+			if used[why.Tenant] == nil {
+				used[why.Tenant] = map[string]bool{}
+			}
+			used[why.Tenant][got] = true
+		}
+		for _, tenant := range []string{"loud", "calm", "quiet"} {
+			if len(used[tenant]) < 2 {
+				t.Errorf("%s: %s used only %v", scheme, tenant, used[tenant])
+			}
+		}
+	}
+}
+
+// A flood that uses a cell's share up is refused; the other cell, and the quiet tenant beside a loud one, are not.
+func TestFloodMeetsItsOwnBudget(t *testing.T) {
+	s := two()
+	s.Budget.RequestsPerS = 400 // 200 for this router, 100 for each cell
+	s.Tenants[2].Cell = "one"   // quiet lives with loud
+	m := module(t, s, names(8)...)
+	a := &asker{t: t, m: m, now: 2 * sec}
+	asked, served := map[string]int{}, map[string]int{}
+	for i := range 10_000 { // ten seconds: loud 900 a second, calm 80, quiet 20
+		a.now += msec
+		ev, who := rules.Event{Group: 1, Object: fmt.Sprintf("%04x", i)}, "loud"
+		switch {
+		case i%50 == 0:
+			ev.Group, ev.Tenant, who = 99, "q", "quiet"
+		case i%50 < 5:
+			ev.Group, who = 99, "calm"
+		}
+		asked[who]++
+		if a.ask(ev) != "" {
+			served[who]++
+		}
+	}
+	if served["calm"] < asked["calm"]*98/100 || served["quiet"] < asked["quiet"]*90/100 {
+		t.Errorf("asked %v, served %v", asked, served)
+	}
+	if served["loud"] > 1600 || served["loud"] < 700 {
+		t.Errorf("loud: %d served of %d, its cell's share is 1000 and what others leave 200", served["loud"], asked["loud"])
+	}
+}
+
+// What a cell lent is its own again within Give, though the borrower goes on.
+func TestShareComesBackWithinGive(t *testing.T) {
+	const give = 250 * msec
+	tr := newTree(1000, []float64{0.5, 0.5}, float64(give))
+	now := sec
+	spend := func(cell int, perMs float64) (got float64) {
+		tr.fill(now)
+		for range int(perMs) {
+			if tr.mayTake(cell, false) {
+				tr.take(cell, 1)
+				got++
+			}
+		}
+		return got
+	}
+	borrowed := 0.0
+	for range 5000 { // the first cell alone: it may have all
+		now += msec
+		borrowed += spend(0, 3)
+	}
+	if borrowed < 4700 {
+		t.Errorf("alone: %v of 5000", borrowed)
+	}
+	first, own := 0.0, 0.0
+	for at := range int64(2000) {
+		now += msec
+		g := spend(0, 3)
+		o := spend(1, 3)
+		if at*msec >= give {
+			first += g
+			own += o
+		}
+	}
+	if own < 870*0.98 || first > 880*1.05 {
+		t.Errorf("after Give: owner %v, borrower %v, 875 each", own, first)
+	}
+}
+
+// Writes have a budget of their own: a flood of pages leaves them alone.
+func TestReportsAreCountedApart(t *testing.T) {
+	s := two()
+	s.Budget.RequestsPerS, s.Budget.WritesPerS = 100, 100
+	m := module(t, s, names(4)...)
+	a := &asker{t: t, m: m, now: 2 * sec}
+	served := 0
+	for i := range 4000 {
+		a.now += msec
+		a.ask(rules.Event{Group: 1, Object: fmt.Sprintf("%04x", i)})
+		if i%100 == 0 && a.ask(rules.Event{Group: 1, Class: "report"}) != "" {
+			served++
+		}
+	}
+	if served != 40 {
+		t.Errorf("%d of 40 reports", served)
+	}
+}
+
+// Places for open requests: a cell that holds all it can leaves the other its share, and gives back what ends.
+func TestOpenRequestsKeepAShare(t *testing.T) {
+	s := two()
+	s.Budget.Open = 20
+	m := module(t, s, names(8)...)
+	now := 2 * sec
+	open := func(group int64, n int) (calls []string) {
+		for i := range n {
+			call := fmt.Sprint("g", group, "-", i, "-", now)
+			for _, act := range m.Step(now, []rules.Event{{Kind: rules.Request, Call: call, Class: "page", Group: group, Object: call, ExpiresIn: 3 * sec}}) {
+				if act.Kind == rules.Get {
+					calls = append(calls, call)
+				}
+			}
+		}
+		return calls
+	}
+	m.Step(now, []rules.Event{{Kind: rules.Request, Call: "first", Class: "page", Group: 99, Object: "x", ExpiresIn: 3 * sec}})
+	now += sec
+	loud := open(1, 30)
+	calm := open(99, 9)
+	if len(loud) > 12 || len(calm) < 8 {
+		t.Errorf("loud %d, calm %d of 20 places", len(loud), len(calm))
+	}
+	for _, call := range loud {
+		m.Step(now, []rules.Event{{Kind: rules.Gone, Call: call}})
+	}
+	if len(m.open) != len(calm)+1 {
+		t.Errorf("%d open after the clients left, %d asked", len(m.open), len(calm)+1)
+	}
+}
+
+// Without a specification a module does to the byte what the rules do alone; and a specification taken away leaves that.
+func TestOffIsWithoutEffect(t *testing.T) {
+	run := func(step func(int64, []rules.Event) []rules.Action) (out []string) {
+		rng := rand.New(rand.NewPCG(3, 3))
+		now := sec
+		step(now, []rules.Event{{Kind: rules.Members, Mode: "replace", Rows: rows(names(6)...)}})
+		for i := range 2000 {
+			now += int64(rng.IntN(5000))
+			call := fmt.Sprint(i)
+			acts := step(now, []rules.Event{{Kind: rules.Request, Call: call, Class: "page", Object: fmt.Sprint(rng.IntN(50)), SizeKb: 40, ExpiresIn: sec}})
+			out = append(out, fmt.Sprintf("%+v", acts))
+			for _, a := range acts {
+				if a.Kind == rules.Get && rng.IntN(10) > 0 {
+					code := []rules.Code{rules.Done, rules.Done, rules.Failed, rules.Busy}[rng.IntN(4)]
+					acts := step(now+50*msec, []rules.Event{{Kind: rules.Outcome, Call: call, Node: a.Node, Code: code, Note: 1, Rtt: 50 * msec, Final: code == rules.Done}})
+					out = append(out, fmt.Sprintf("%+v", acts))
+				}
+			}
+		}
+		return out
+	}
+	plain, err := rules.New(settings(), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := NewModule(settings(), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Confine(0, two()); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Confine(0, nil); err != nil {
+		t.Fatal(err)
+	}
+	if a, b := run(plain.Step), run(m.Step); !slices.Equal(a, b) {
+		t.Error("not the same actions")
+	}
+	if m.Picture(0) != nil || m.Version() != 0 {
+		t.Error("something is left")
+	}
+}
+
+// A specification that can't be used leaves the old one, with what it has learnt, in force.
+func TestBadSpecificationChangesNothing(t *testing.T) {
+	m := module(t, two(), names(4)...)
+	a := &asker{t: t, m: m, now: 2 * sec}
+	want := a.ask(rules.Event{Group: 1, Object: "77"})
+	bad := two()
+	bad.Version, bad.Tenants[0].Cell = 2, "nowhere"
+	if err := m.Confine(a.now, bad); err == nil || !strings.HasPrefix(err.Error(), "cells.tenants[0].cell: ") {
+		t.Errorf("got %v", err)
+	}
+	if got := a.ask(rules.Event{Group: 1, Object: "77"}); got != want || m.Version() != 1 {
+		t.Errorf("version %d sends to %s, %s before", m.Version(), got, want)
+	}
+}
+
+// Random days: members come and go, specifications change, requests end in every way. Nothing is counted as open that
+// is not, no request goes where its specification of the moment does not allow, and each has one answer.
+func TestRandomDays(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 77))
+		specs := []*Spec{two(), two(), two()}
+		specs[1].Version, specs[1].Scheme, specs[1].Width = 2, Nested, 2
+		specs[2].Version = 3
+		specs[2].Cells = append(specs[2].Cells, Cell{Name: "three", Share: 0.0001})
+		specs[2].Cells[0].Share, specs[2].Cells[1].Share, specs[2].Cells[0].Spill = 0.4, 0.4, "three"
+		specs[2].Budget = Budget{RequestsPerS: 300, FillKbPerS: 3000, ParentKbPerS: 4000, OriginKbPerS: 3000, Open: 40, WritesPerS: 30}
+		all := names(9)
+		spec := specs[0]
+		m := module(t, spec, all...)
+		listed := map[string]bool{}
+		for _, name := range all {
+			listed[name] = true
+		}
+		now := sec
+		out := map[string]string{}
+		number := map[string]int{}
+		take := func(acts []rules.Action) {
+			for _, a := range acts {
+				switch a.Kind {
+				case rules.Get:
+					if out[a.Call] != "" {
+						t.Fatalf("seed %d: two attempts of %s", seed, a.Call)
+					}
+					out[a.Call] = a.Node
+					number[a.Call]++
+				case rules.Refuse, rules.Fail:
+					if _, open := out[a.Call]; !open {
+						t.Fatalf("seed %d: an answer to %s, which is over", seed, a.Call)
+					}
+					delete(out, a.Call)
+				}
+			}
+		}
+		for i := range 3000 {
+			now += int64(rng.IntN(4000))
+			switch rng.IntN(40) {
+			case 0:
+				spec = specs[rng.IntN(len(specs))]
+				if err := m.Confine(now, spec); err != nil {
+					t.Fatal(err)
+				}
+			case 1:
+				name := all[rng.IntN(len(all))]
+				row := rows(name)[3]
+				if listed[name] = !listed[name]; !listed[name] {
+					row.Status = []string{"cordoned", "deregistered"}[rng.IntN(2)]
+				}
+				take(m.Step(now, []rules.Event{{Kind: rules.Members, Mode: "update", Rows: []rules.Row{row}}}))
+			default:
+				call := fmt.Sprint(i)
+				ev := rules.Event{Kind: rules.Request, Call: call, Class: []string{"page", "page", "report"}[rng.IntN(3)], Group: int64(rng.IntN(20)),
+					Object: fmt.Sprintf("%04x", rng.IntN(300)), SizeKb: float64(rng.IntN(100)), ExpiresIn: sec}
+				out[call] = ""
+				who := m.tenants[m.Tenant(&ev)]
+				acts := m.Step(now, []rules.Event{ev})
+				for _, a := range acts {
+					if a.Kind != rules.Get || ev.Class == "report" || !strings.HasPrefix(a.Node, "s-") {
+						continue
+					}
+					c := &m.cells[who.cell]
+					if !slices.Contains(c.names, a.Node) && (c.spill < 0 || !slices.Contains(m.cells[c.spill].names, a.Node)) {
+						t.Fatalf("seed %d: %s of %s sent to %s", seed, call, who.name, a.Node)
+					}
+				}
+				take(acts)
+			}
+			for len(out) > 30 {
+				var calls []string
+				for call := range out {
+					calls = append(calls, call)
+				}
+				slices.Sort(calls)
+				call := calls[rng.IntN(len(calls))]
+				node := out[call]
+				if rng.IntN(8) == 0 {
+					delete(out, call)
+					m.Step(now, []rules.Event{{Kind: rules.Gone, Call: call}})
+					continue
+				}
+				code := []rules.Code{rules.Done, rules.Failed, rules.Busy, rules.Reset, rules.TimedOut}[rng.IntN(5)]
+				ev := rules.Event{Kind: rules.Outcome, Call: call, Attempt: number[call] - 1, Node: node, Code: code, Note: rng.IntN(11), Rtt: 40 * msec, Final: code == rules.Done}
+				if out[call] = ""; code == rules.Done {
+					delete(out, call)
+				}
+				take(m.Step(now, []rules.Event{ev}))
+			}
+		}
+		for call := range out {
+			m.Step(now, []rules.Event{{Kind: rules.Gone, Call: call}})
+		}
+		sum := 0
+		for _, c := range m.cells {
+			sum += c.open
+		}
+		if len(m.open) != 0 || sum != 0 {
+			t.Errorf("seed %d: %d requests and %d places left open", seed, len(m.open), sum)
+		}
+	}
+}
--- /dev/null
+++ b/core/cells/cost_test.go
@@ -0,0 +1,87 @@
+package cells
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"spantack/rules"
+)
+
+// many is a specification with as many tenants as are planned for, or ten times as many.
+func many(tenants, cells int) *Spec {
+	s := &Spec{Version: 1, Scheme: Fixed, Budget: Budget{RequestsPerS: 1e9, FillKbPerS: 1e9, ParentKbPerS: 1e9, OriginKbPerS: 1e9, WritesPerS: 1e9, Open: 1e6}}
+	for i := range cells {
+		s.Cells = append(s.Cells, Cell{Name: fmt.Sprint("c", i), Share: 1 / float64(cells)})
+	}
+	for i := range tenants {
+		name := fmt.Sprintf("t%06d", i)
+		s.Tenants = append(s.Tenants, Tenant{Name: name, Cell: fmt.Sprint("c", i%cells)})
+		s.Keys = append(s.Keys, Key{Prefix: fmt.Sprintf("%05x", i), Tenant: name})
+	}
+	s.Keys = append(s.Keys, Key{Tenant: "t000000"})
+	return s
+}
+
+// BenchmarkFrame is what the gate adds to a request: admission, and the booking of its outcome, without rules.
+func BenchmarkFrame(b *testing.B) {
+	for _, size := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("tenants=%d", size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			spec := many(size, 64)
+			m := module(b, spec, names(256)...)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			calls, objects := make([]string, 1024), make([]string, 4096)
+			for i := range calls {
+				calls[i] = fmt.Sprintf("%016x", i)
+			}
+			for i := range objects {
+				objects[i] = fmt.Sprintf("%05x%011x", i*size/len(objects), i)
+			}
+			now := 2 * sec
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 100
+				ev := rules.Event{Kind: rules.Request, Call: calls[i%len(calls)], Class: "page", Object: objects[i%len(objects)], Group: 7, SizeKb: 50}
+				if why := m.admit(now, &ev); why != None {
+					b.Fatal(why)
+				}
+				ev.Kind, ev.Code, ev.Note, ev.Final = rules.Outcome, rules.Done, 1, true
+				m.outcome(now, &ev)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/tenant")
+		})
+	}
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, size := range []int{100, 10_000, 100_000} {
+		spec := many(size, 64)
+		table := newTable(spec.Keys)
+		object := fmt.Sprintf("%05x%011x", size/2, 1)
+		b.Run(fmt.Sprintf("trie/lines=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				table.find(7, "page", object, "")
+			}
+		})
+		b.Run(fmt.Sprintf("plain/lines=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				plainFind(spec.Keys, 7, "page", object, "")
+			}
+		})
+	}
+}
+
+func BenchmarkDivide(b *testing.B) {
+	for _, size := range []struct{ cells, caches int }{{8, 38}, {64, 256}} {
+		cells, caches := many(64, size.cells).Cells, names(size.caches)
+		b.Run(fmt.Sprintf("%dx%d", size.cells, size.caches), func(b *testing.B) {
+			for b.Loop() {
+				divide(cells, caches)
+			}
+		})
+	}
+}
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -15,17 +15,18 @@
 
 // What the gate starts from and moves by.
 const (
-	missAtFirst  = 0.3   // share of misses of a tenant of whom nothing is known
-	deepAtFirst  = 0.1   // and of those that reach the head office
-	missStep     = 0.05  // step of that share
-	sizeStep     = 0.02  // step of the mean size of a class, where sizes are not told
-	sizeAtFirst  = 100.0 // KB, before the first answer
-	giveAtFirst  = 250.0 // ms, where the budget names none
-	crowdedShare = 0.05  // share of requests refused by rules past which a cell is crowded
-	waitLeast    = 0.25  // least time to stay away of a request over budget, in parts of the longest
-	countEvery   = 500_000
-	busyWithin   = 2_000_000 // microseconds since its last request in which a tenant counts as one of its cell
-	mostOpenPart = 0.9       // part of the requests open at once that cells may fill; the rest is for quiet tenants
+	missAtFirst    = 0.3   // share of misses of a tenant of whom nothing is known
+	deepAtFirst    = 0.1   // and of those that reach the head office
+	missStep       = 0.05  // step of that share
+	sizeUnsaid     = 100.0 // KB of a request whose front does not tell its size
+	giveAtFirst    = 250.0 // ms, where the budget names none
+	crowdedShare   = 0.05  // share of requests refused by rules past which a cell is crowded
+	waitLeast      = 0.25  // least time to stay away of a request over budget, in parts of the longest
+	countEvery     = 500_000
+	heavyObjects   = 256       // objects kept count of: each with more than 1/256 of all KB is among them
+	objectHalfLife = 60e6      // microseconds
+	busyWithin     = 2_000_000 // microseconds since its last request in which a tenant counts as one of its cell
+	mostOpenPart   = 0.9       // part of the requests open at once that cells may fill; the rest is for quiet tenants
 )
 
 // Reason tells why a request was refused at the gate, for logs and `spanctl`.
@@ -116,7 +117,7 @@
 	caches  []string // listed ones of the own depot
 	confine []rules.Event
 	writes  map[string]bool
-	classKb map[string]float64
+	objects *Hitters // by KB asked for
 	open    map[string]open
 
 	requests, fills, parents, origin, puts *tree
@@ -131,10 +132,9 @@
 		return nil, err
 	}
 	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{},
-		open: map[string]open{}, writes: map[string]bool{}, classKb: map[string]float64{}}
+		open: map[string]open{}, writes: map[string]bool{}, objects: NewHitters(heavyObjects, objectHalfLife)}
 	for i, c := range set.Classes {
 		m.writes[c.Name] = i < len(set.Extra.PassOn) && set.Extra.PassOn[i]
-		m.classKb[c.Name] = sizeAtFirst
 	}
 	return m, nil
 }
@@ -401,7 +401,7 @@
 	write := m.writes[ev.Class]
 	kb := ev.SizeKb
 	if kb <= 0 {
-		kb = m.classKb[ev.Class]
+		kb = sizeUnsaid
 	}
 	fill, deep := kb*t.miss, kb*t.deep
 	if write {
@@ -468,6 +468,7 @@
 		ev.Spill = m.spare + 1
 	}
 	c.open++
+	m.objects.Add(now, ev.Object, kb)
 	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, write: write}
 	m.Stats.Admitted++
 	return None
--- a/core/cells/picture.go
+++ b/core/cells/picture.go
@@ -12,6 +12,7 @@
 	Stats   Stats      `json:"stats"`
 	Cells   []CellNow  `json:"cells"`
 	Heavy   []HeavyNow `json:"heavy"`
+	Objects []Hitter   `json:"objects"` // by KB asked for of late
 }
 
 // CellNow is one cell.
@@ -56,5 +57,6 @@
 	}
 	slices.SortFunc(p.Heavy, func(a, b HeavyNow) int { return cmp.Or(cmp.Compare(b.Used, a.Used), cmp.Compare(a.Name, b.Name)) })
 	p.Heavy = p.Heavy[:min(mostHeavy, len(p.Heavy))]
+	p.Objects = m.objects.Top(mostHeavy)
 	return p
 }
--- a/core/cells/spec.go
+++ b/core/cells/spec.go
@@ -31,7 +31,7 @@
 const (
 	MaxCells   = 64
 	MaxTenants = 100_000
-	MaxKeys    = 100_000
+	MaxKeys    = 200_000
 	families   = 256
 )
 
--- /dev/null
+++ b/rules/confine_test.go
@@ -0,0 +1,122 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// confined is a rig with two sets of two caches, an account each.
+func confined(t *testing.T, shares ...float64) *rig {
+	g := newRig(t, settings(), 4, 2)
+	g.do(Event{Kind: Confine, Set: 1, Account: 1, Share: shares[0], Names: []string{"c0", "c1"}},
+		Event{Kind: Confine, Set: 2, Account: 2, Share: shares[1], Names: []string{"c3", "c2", "c9"}})
+	return g
+}
+
+func (g *rig) askIn(set int, class, object string) Action {
+	g.t.Helper()
+	return g.one(Event{Kind: Request, Call: fmt.Sprint(set, object), Class: class, Object: object, ExpiresIn: 3 * sec, Set: set})
+}
+
+func TestRequestsStayInTheirSet(t *testing.T) {
+	g := confined(t, 0.5, 0.5)
+	in := map[int]string{1: "c0 c1", 2: "c2 c3"}
+	for i := range 60 {
+		for set, names := range in {
+			a := g.askIn(set, "small", fmt.Sprint("o", i))
+			if a.Kind != Get || len(a.Node) != 2 || !strings.Contains(names, a.Node) {
+				t.Fatalf("set %d: %+v", set, a)
+			}
+			g.do(result(a, 0, Done, 1))
+		}
+	}
+	if a := g.askIn(7, "small", "x"); a.Kind != Refuse {
+		t.Errorf("a set that nobody named: %+v", a)
+	}
+	g.do(Event{Kind: Confine, Set: 1})
+	if a := g.askIn(1, "small", "y"); a.Kind != Refuse {
+		t.Errorf("a set that was dropped: %+v", a)
+	}
+}
+
+// The caches of a set are all shut: it is refused, and goes neither to others nor straight to area caches.
+func TestShutSetIsRefused(t *testing.T) {
+	g := confined(t, 0.5, 0.5)
+	for i := 0; i < 40; i++ {
+		g.now += 10 * ms
+		a := g.askIn(1, "small", fmt.Sprint("o", i))
+		for leg := 0; a.Kind == Get; leg++ {
+			if a.Node != "c0" && a.Node != "c1" {
+				t.Fatalf("sent to %s", a.Node)
+			}
+			a = g.one(result(a, leg, Reset, 0))
+		}
+	}
+	if a := g.askIn(2, "small", "z"); a.Kind != Get {
+		t.Errorf("the other set: %+v", a)
+	}
+}
+
+// Where the first set has no cache that will do, the second may be used: by name, and not otherwise.
+func TestSpillIsUsedWhenTheSetCantBe(t *testing.T) {
+	g := confined(t, 0.5, 0.5)
+	g.do(Event{Kind: Members, Mode: "update", Rows: []Row{{Node: "c0", Status: "deregistered"}, {Node: "c1", Status: "deregistered"}}})
+	a := g.one(Event{Kind: Request, Call: "s", Class: "small", Object: "o", ExpiresIn: 3 * sec, Set: 1, Spill: 2})
+	if a.Kind != Get || a.Node != "c2" && a.Node != "c3" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// The head office fails one account's fills: its breaker opens for that account alone, and its trials are its own.
+func TestBreakersOfSharedServersAreKeptByAccount(t *testing.T) {
+	g := confined(t, 0.5, 0.5)
+	for i := range 12 {
+		a := g.askIn(1, "small", fmt.Sprint("bad", i))
+		for leg := 0; a.Kind == Get; leg++ {
+			code := Failed
+			if a.Source == a.Node { // the held copy
+				code = Miss
+			}
+			a = g.one(result(a, leg, code, 10))
+		}
+	}
+	o := g.r.origin
+	if !o.gate(1).open(g.now) {
+		t.Fatal("twelve failed fills do not open the account's breaker")
+	}
+	if o.gate(2).open(g.now) || o.brk.until != 0 {
+		t.Error("another account's breaker is open")
+	}
+	if a := g.askIn(2, "small", "good"); a.Kind != Get || a.Source == a.Node || a.How&HeldOnly != 0 {
+		t.Errorf("the other account's fill: %+v", a)
+	}
+}
+
+// One account fills an area cache's limit: the other still has its share, and what it used of late is kept free for it.
+func TestShareOfALimitIsItsAccounts(t *testing.T) {
+	g := confined(t, 0.25, 0.25)
+	p := g.r.parents
+	for _, n := range append(p, g.r.origin) {
+		n.limit, n.cutAt = 20, 1
+	}
+	sent := func(set, n int, name string) (got int) {
+		for i := range n {
+			a := g.askIn(set, "small", fmt.Sprint(name, i))
+			if a.Kind == Get && (a.Source == "p0" || a.Source == "p1") {
+				got++
+			}
+		}
+		return got
+	}
+	for _, n := range g.r.caches {
+		n.limit = 1000
+	}
+	loud := sent(1, 200, "l")
+	if loud < 25 || loud > 60 {
+		t.Errorf("alone, the first account has %d fills out at limits of 40", loud)
+	}
+	if quiet := sent(2, 30, "q"); quiet < 6 {
+		t.Errorf("the second account gets %d fills, its share is 10", quiet)
+	}
+}
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -138,7 +138,7 @@
 // failed, else a source is asked.
 func (r *Router) without(q *request, full bool) {
 	source, how := r.pickSource(q)
-	straight := r.set.Extra.Straight && r.origin != nil && q.account == 0
+	straight := r.set.Extra.Straight && r.origin != nil && q.Set == 0
 	if full || !straight || source == nil || !r.sameGroup(q, source) {
 		r.end(q)
 		return
