--- a/core/cells/cells_test.go
+++ b/core/cells/cells_test.go
@@ -125,7 +125,7 @@
 		"cells[0].spill: \"one\"":                  func(s *Spec) { s.Cells[0].Spill = "one" },
 		"tenants[1].name: \"loud\" is named twice": func(s *Spec) { s.Tenants[1].Name = "loud" },
 		"tenants[2].cell: \"nine\" is no cell":     func(s *Spec) { s.Tenants[2].Cell = "nine" },
-		"tenants[0].in[z]: ":                       func(s *Spec) { s.Tenants[0].In = map[string]string{"z": "nine"} },
+		"tenants[0].depots[z]: ":                   func(s *Spec) { s.Tenants[0].Depots = map[string]string{"z": "nine"} },
 		"tenants[0].weight: ":                      func(s *Spec) { s.Tenants[0].Weight = -1 },
 		"keys[0].tenant: \"who\" is no tenant":     func(s *Spec) { s.Keys[0].Tenant = "who" },
 		"keys[0].families: ":                       func(s *Spec) { s.Keys[0].Families = []int{5, 2} },
--- a/core/cells/spec.go
+++ b/core/cells/spec.go
@@ -59,7 +59,7 @@
 type Tenant struct {
 	Name   string            `json:"name"`
 	Cell   string            `json:"cell"`
-	In     map[string]string `json:"in,omitempty" jsonschema_description:"cell by depot, where it differs"`
+	Depots map[string]string `json:"depots,omitempty" jsonschema_description:"cell by depot, where it differs"`
 	Weight float64           `json:"weight,omitempty" jsonschema_description:"right to its cell against others in it; 1 if left out"`
 }
 
@@ -151,9 +151,9 @@
 		if _, is := cells[t.Cell]; !is {
 			return fault(at+".cell", "%q is no cell; cells are %s", t.Cell, known)
 		}
-		for depot, c := range t.In {
+		for depot, c := range t.Depots {
 			if _, is := cells[c]; !is || depot == "" {
-				return fault(at+".in["+depot+"]", "%q is no cell; cells are %s", c, known)
+				return fault(at+".depots["+depot+"]", "%q is no cell; cells are %s", c, known)
 			}
 		}
 		if !(t.Weight >= 0) || math.IsInf(t.Weight, 1) {
@@ -248,6 +248,6 @@
 
 // cellOf is the place of a tenant's cell in a depot.
 func (s *Spec) cellOf(t *Tenant, depot string) int {
-	name := cmp.Or(t.In[depot], t.Cell)
+	name := cmp.Or(t.Depots[depot], t.Cell)
 	return slices.IndexFunc(s.Cells, func(c Cell) bool { return c.Name == name })
 }
--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,230 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spantack/internal/testseed"
+	"spantack/rules"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// trouble is a day on which much goes wrong.
+func trouble(seed uint64) Config {
+	cfg := small(seed)
+	confine(&cfg, 3)
+	cfg.Flood = &Flood{Tenant: 0, Times: 8, Kind: "unique", FromS: 5, ForS: 4}
+	cfg.Faults = []Fault{
+		{Kind: "router", Depot: 0, Which: 1, AtS: 5, ForS: 3},
+		{Kind: "cache", Depot: 1, Which: 2, AtS: 6, ForS: 2},
+		{Kind: "parent", Which: 1, AtS: 7, ForS: 2},
+		{Kind: "deploy", Depot: 1, AtS: 6, ForS: 5, Part: 0.5},
+		{Kind: "depot", Depot: 0, AtS: 9, ForS: 1},
+	}
+	return cfg
+}
+
+// One seed gives one result, to the byte, however many worlds run beside it.
+func TestSameSeedSameResult(t *testing.T) {
+	results := make([]string, 6)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() {
+			w, err := New(trouble(3))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r := w.Run()
+			text, err := json.Marshal(r)
+			if err != nil {
+				t.Error(err)
+			}
+			results[i] = string(text) + fmt.Sprint(r.Seconds)
+		})
+		if i == 2 {
+			wg.Wait()
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		}
+	}
+	wg.Wait()
+	for _, r := range results {
+		if r != results[0] {
+			t.Fatalf("not the same:\n%s\n%s", results[0], r)
+		}
+	}
+}
+
+// Days of trouble break no rule, and what was asked is accounted for.
+func TestTroubleBreaksNoRule(t *testing.T) {
+	for seed := range uint64(5) {
+		r := play(t, trouble(seed))
+		if r.BrokenRules() != 0 {
+			t.Errorf("seed %d: %v", seed, r.Broken)
+		}
+		if r.Lost == 0 {
+			t.Errorf("seed %d: no request was at the router that died", seed)
+		}
+		all := r.Others().Plus(r.Cell())
+		if ended := all.Served + all.Lost; ended != all.Asked {
+			t.Errorf("seed %d: %d wishes, %d ended", seed, all.Asked, ended)
+		}
+		if all.Share() < 0.5 {
+			t.Errorf("seed %d: %.3f timely", seed, all.Share())
+		}
+	}
+}
+
+// The world's own checks find what they are there to find.
+func TestBrokenRulesAreSeen(t *testing.T) {
+	w, err := New(small(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := w.addCache(0, 1)
+	w.now = sec
+	for i := 0; i < 10_000 && w.coldBears(id, 370); i++ {
+	}
+	if w.res.Broken["cold server pushed over"] != 1 || w.servers[id].up {
+		t.Errorf("a cold cache with ten thousand parts: %v", w.res.Broken)
+	}
+	q := take(&w.requests, &w.freeReq)
+	w.requests[q] = request{gen: 1, try: -1, number: -1, wish: take(&w.wishes, &w.freeWish)}
+	w.servers[w.caches[0][0]].drained[0] = w.now - drainBinds - 1
+	w.send(q, actionTo(w.servers[w.caches[0][0]].name))
+	w.send(q, actionTo(w.servers[w.caches[0][1]].name))
+	w.final(q, actionTo(""))
+	w.final(q, actionTo(""))
+	for _, rule := range []string{"sent to a drained server", "two attempts of a request out", "answered with an attempt out", "two answers to a request"} {
+		if w.res.Broken[rule] != 1 {
+			t.Errorf("%s: counted %d times", rule, w.res.Broken[rule])
+		}
+	}
+}
+
+func TestCheckNamesTheFieldOfTheWorld(t *testing.T) {
+	for want, spoil := range map[string]func(*Config){
+		"depots: 0 is not 1 to 256":     func(c *Config) { c.Depots = 0 },
+		"rateS: NaN":                    func(c *Config) { c.RateS = math.NaN() },
+		"flood.tenant: 99 is no tenant": func(c *Config) { c.Flood = &Flood{Tenant: 99} },
+		"faults[0]: ":                   func(c *Config) { c.Faults = []Fault{{Depot: 7}} },
+	} {
+		cfg := small(1)
+		spoil(&cfg)
+		if err := cfg.Check(); err == nil || len(err.Error()) < len(want) || err.Error()[:len(want)] != want {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
+
+// A link shares its capacity evenly, none above pace: against a world in which each millisecond is reckoned by itself.
+func TestLinkAgainstSmallSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "transfers")
+		rng := rand.New(rand.NewPCG(uint64(n), rapid.Uint64().Draw(t, "seed")))
+		l := link{cap: 4000 / 1e6, pace: 1000 / 1e6}
+		type plain struct {
+			at   int64
+			left float64
+			end  int64
+		}
+		var want []plain
+		for range n {
+			want = append(want, plain{at: int64(rng.IntN(400)) * ms, left: 20 + 400*rng.Float64()})
+		}
+		ends := make([]int64, n)
+		started := make([]bool, n)
+		const dt = 50 * us
+		for now := int64(0); now < 5*sec; now += dt {
+			out := 0
+			for i := range want {
+				if want[i].at <= now && want[i].end == 0 {
+					out++
+				}
+				if want[i].at <= now && !started[i] {
+					started[i] = true
+					l.add(now, want[i].left, transfer{owner: int32(i)})
+				}
+			}
+			speed := 0.0
+			if out > 0 {
+				speed = min(l.pace, l.cap/float64(out))
+			}
+			for i := range want {
+				if want[i].at <= now && want[i].end == 0 {
+					if want[i].left -= speed * float64(dt); want[i].left <= 0 {
+						want[i].end = now + dt
+					}
+				}
+			}
+			for len(l.heap) > 0 && l.next() <= now+dt {
+				at := max(l.next(), now)
+				l.advance(at)
+				tr := l.popTransfer()
+				l.n--
+				ends[tr.owner] = at
+			}
+		}
+		for i := range want {
+			if d := ends[i] - want[i].end; d > 20*ms || d < -20*ms {
+				t.Fatalf("transfer %d ends at %d us, in small steps at %d", i, ends[i], want[i].end)
+			}
+		}
+	})
+}
+
+// The queue gives events by time, and those of one time in the order in which they came.
+func TestQueueOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q queue
+		last := event{at: -1}
+		for _, at := range rapid.SliceOf(rapid.Int64Range(-1, 50)).Draw(t, "times") {
+			if at >= 0 {
+				q.push(event{at: at + max(last.at, 0)})
+			} else if len(q.heap) > 0 {
+				e := q.pop()
+				if e.before(&last) {
+					t.Fatalf("%+v after %+v", e, last)
+				}
+				last = e
+			}
+		}
+	})
+}
+
+// The store never holds more than its room, and drops what was used longest ago.
+func TestStore(t *testing.T) {
+	c := newLRU(100)
+	for i := range uint64(10) {
+		c.put(i, 10, int64(i))
+	}
+	if _, held := c.get(0, 0); !held {
+		t.Fatal("what fits is not held")
+	}
+	c.put(10, 10, 10)
+	if _, held := c.get(1, 0); held {
+		t.Error("what was used longest ago is held")
+	}
+	if _, held := c.get(0, 0); !held {
+		t.Error("what was used is gone")
+	}
+	if _, held := c.get(5, 6); held {
+		t.Error("a copy that is too old")
+	}
+	c.put(11, 1000, 0)
+	if _, held := c.get(11, 0); held || c.held > c.room {
+		t.Errorf("%v KB in a room of %v", c.held, c.room)
+	}
+}
+
+func actionTo(server string) rules.Action {
+	return rules.Action{Kind: rules.Get, Node: server, TimeOut: sec}
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -91,9 +91,9 @@
 		}
 	}
 	for i, t := range spec.Tenants {
-		for depot := range t.In {
+		for depot := range t.Depots {
 			if len(set.Zones) > 0 && !slices.Contains(set.Zones, depot) {
-				return fmt.Errorf("cells.tenants[%d].in[%s]: no such depot; depots are %s", i, depot, strings.Join(set.Zones, ", "))
+				return fmt.Errorf("cells.tenants[%d].depots[%s]: no such depot; depots are %s", i, depot, strings.Join(set.Zones, ", "))
 			}
 		}
 	}
