--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -119,7 +119,10 @@
 	if err != nil {
 		return err
 	}
-	a := spec.Explain(c.Depot, c.Caches, c.Family, c.Class, c.Object, c.Tenant)
+	a, err := spec.Explain(c.Depot, c.Caches, c.Family, c.Class, c.Object, c.Tenant)
+	if err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "keys[%d]: tenant %s, cell %s; no live cache: %s", a.Line, a.Tenant, a.Cell, spill(a.Spill))
 	if a.Spare != "" {
 		fmt.Fprintf(out, "; no room: use %s", a.Spare)
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// feature loads the features file against the settings in force; without a file nothing is on.
-func feature(file string, c *config.Config) (*features.File, error) {
+// feature loads the features file against the settings in force; nil where cells are off, as without a file.
+func feature(file string, c *config.Config) (*cells.Assignment, error) {
 	if file == "" {
-		return &features.File{}, nil
+		return nil, nil
 	}
 	f, err := features.Load(file)
 	if err != nil {
@@ -88,7 +88,11 @@
 	if err := f.Fits(&c.Settings); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
-	return f, nil
+	a, err := f.Assignment()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return a, nil
 }
 
 // reload brings the configuration for a SIGHUP.
@@ -128,9 +132,7 @@
 	if err != nil {
 		return err
 	}
-	if err := core.Confine(on.Spec()); err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
+	core.Confine(on)
 	apply := func(n router.Notice) {
 		pools.Apply(n)
 		core.Apply(n)
@@ -220,16 +222,14 @@
 		return
 	}
 	on, err := feature(file, c)
-	if err == nil {
-		err = core.Confine(on.Spec())
-	}
 	if err != nil {
 		log.Error().Err(err).Msg("new features can't be used")
 		return
 	}
+	core.Confine(on)
 	version := int64(0)
-	if spec := on.Spec(); spec != nil {
-		version = spec.Version
+	if on != nil {
+		version = on.Version()
 	}
 	log.Info().Int64("cells", version).Msg("new features")
 }
--- a/core/cells/cells_test.go
+++ b/core/cells/cells_test.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -65,15 +66,22 @@
 	return list
 }
 
-func module(t testing.TB, spec *Spec, caches ...string) *Module {
+func compile(t testing.TB, spec *Spec) *Assignment {
 	t.Helper()
-	m, err := NewModule(settings(), 1)
+	a, err := Compile(spec)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := m.Confine(sec, spec); err != nil {
+	return a
+}
+
+func module(t testing.TB, spec *Spec, caches ...string) *Module {
+	t.Helper()
+	m, err := NewModule(settings(), 1)
+	if err != nil {
 		t.Fatal(err)
 	}
+	m.Confine(sec, compile(t, spec))
 	m.Step(sec, []rules.Event{{Kind: rules.Members, Mode: "replace", Rows: rows(caches...)}})
 	return m
 }
@@ -258,6 +266,46 @@
 	}
 }
 
+// sortedDivide goes through all pairs by affinity: what divide must agree with.
+func sortedDivide(cells []Cell, caches []string) [][]string {
+	type pair struct {
+		cell, cache int
+		a           float64
+	}
+	var pairs []pair
+	for i, c := range cells {
+		for j, name := range caches {
+			pairs = append(pairs, pair{i, j, affinity(c.Name, name)})
+		}
+	}
+	slices.SortFunc(pairs, func(a, b pair) int { return cmp.Compare(b.a, a.a) })
+	room, in, placed := quotas(cells, len(caches)), make([][]string, len(cells)), map[int]bool{}
+	for _, p := range pairs {
+		if !placed[p.cache] && room[p.cell] > 0 {
+			placed[p.cache] = true
+			room[p.cell]--
+			in[p.cell] = append(in[p.cell], caches[p.cache])
+		}
+	}
+	for _, names := range in {
+		slices.Sort(names)
+	}
+	return in
+}
+
+func TestDivideAgreesWithThePlainWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cells []Cell
+		for i := range rapid.IntRange(1, 12).Draw(t, "cells") {
+			cells = append(cells, Cell{Name: fmt.Sprint("c", i), Share: rapid.Float64Range(0.001, 0.08).Draw(t, "share")})
+		}
+		caches := names(rapid.IntRange(0, 50).Draw(t, "caches"))
+		if got, want := divide(cells, caches), sortedDivide(cells, caches); !slices.EqualFunc(got, want, slices.Equal) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
 func TestFewerCachesThanCells(t *testing.T) {
 	s := two()
 	s.Cells[0].Share, s.Cells[1].Share = 0.6, 0.4
@@ -270,9 +318,7 @@
 		t.Errorf("a cell without caches is sent to %q", got)
 	}
 	s.Version, s.Cells[1].Spill = 2, "one"
-	if err := m.Confine(2*sec, s); err != nil {
-		t.Fatal(err)
-	}
+	m.Confine(2*sec, compile(t, s))
 	if got := a.ask(rules.Event{Group: 99, Object: "01"}); got != "c0" {
 		t.Errorf("the named neighbour does not serve: %q", got)
 	}
@@ -364,7 +410,10 @@
 			if i%3 == 0 {
 				ev.Tenant = "q"
 			}
-			why := s.Explain("z", caches, int(ev.Group), "page", ev.Object, ev.Tenant)
+			why, err := s.Explain("z", caches, int(ev.Group), "page", ev.Object, ev.Tenant)
+			if err != nil {
+				t.Fatal(err)
+			}
 			got := a.ask(ev)
 			if !slices.Contains(why.Caches, got) {
 				t.Fatalf("%s: %s of %s sent to %q, not one of %v", scheme, ev.Object, why.Tenant, got, why.Caches)
@@ -535,12 +584,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := m.Confine(0, two()); err != nil {
-		t.Fatal(err)
-	}
-	if err := m.Confine(0, nil); err != nil {
-		t.Fatal(err)
-	}
+	m.Confine(0, compile(t, two()))
+	m.Confine(0, nil)
 	if a, b := run(plain.Step), run(m.Step); !slices.Equal(a, b) {
 		t.Error("not the same actions")
 	}
@@ -549,18 +594,26 @@
 	}
 }
 
-// A specification that can't be used leaves the old one, with what it has learnt, in force.
-func TestBadSpecificationChangesNothing(t *testing.T) {
-	m := module(t, two(), names(4)...)
-	a := &asker{t: t, m: m, now: 2 * sec}
-	want := a.ask(rules.Event{Group: 1, Object: "77"})
+// A specification that can't be used does not get as far as a module.
+func TestBadSpecificationIsNotCompiled(t *testing.T) {
 	bad := two()
-	bad.Version, bad.Tenants[0].Cell = 2, "nowhere"
-	if err := m.Confine(a.now, bad); err == nil || !strings.HasPrefix(err.Error(), "cells.tenants[0].cell: ") {
-		t.Errorf("got %v", err)
+	bad.Tenants[0].Cell = "nowhere"
+	if a, err := Compile(bad); a != nil || err == nil || !strings.HasPrefix(err.Error(), "cells.tenants[0].cell: ") {
+		t.Errorf("got %v, %v", a, err)
 	}
-	if got := a.ask(rules.Event{Group: 1, Object: "77"}); got != want || m.Version() != 1 {
-		t.Errorf("version %d sends to %s, %s before", m.Version(), got, want)
+}
+
+// What was learnt of a tenant goes with it into a new assignment, whatever its place there.
+func TestTenantsKeepWhatIsKnownOfThem(t *testing.T) {
+	m := module(t, two(), names(4)...)
+	m.tenants[0].miss, m.tenants[2].miss = 0.9, 0.1
+	next := two()
+	next.Version = 2
+	next.Tenants = []Tenant{{Name: "quiet", Cell: "one"}, {Name: "new", Cell: "one"}, {Name: "loud", Cell: "two"}}
+	next.Keys = []Key{{Families: []int{0, 9}, Tenant: "loud"}, {Tenant: "new"}}
+	m.Confine(3*sec, compile(t, next))
+	if m.tenants[0].miss != 0.1 || m.tenants[1].miss != missAtFirst || m.tenants[2].miss != 0.9 {
+		t.Errorf("%+v", m.tenants)
 	}
 }
 
@@ -576,8 +629,7 @@
 		specs[2].Cells[0].Share, specs[2].Cells[1].Share, specs[2].Cells[0].Spill = 0.4, 0.4, "three"
 		specs[2].Budget = Budget{RequestsPerS: 300, FillKbPerS: 3000, ParentKbPerS: 4000, OriginKbPerS: 3000, Open: 40, WritesPerS: 30}
 		all := names(9)
-		spec := specs[0]
-		m := module(t, spec, all...)
+		m := module(t, specs[0], all...)
 		listed := map[string]bool{}
 		for _, name := range all {
 			listed[name] = true
@@ -606,10 +658,7 @@
 			now += int64(rng.IntN(4000))
 			switch rng.IntN(40) {
 			case 0:
-				spec = specs[rng.IntN(len(specs))]
-				if err := m.Confine(now, spec); err != nil {
-					t.Fatal(err)
-				}
+				m.Confine(now, compile(t, specs[rng.IntN(len(specs))]))
 			case 1:
 				name := all[rng.IntN(len(all))]
 				row := rows(name)[3]
--- a/core/cells/cost_test.go
+++ b/core/cells/cost_test.go
@@ -85,3 +85,23 @@
 		})
 	}
 }
+
+// BenchmarkConfine is a new specification taken in while serving: worked out beside it, and put in force under the module's
+// lock, for which requests wait.
+func BenchmarkConfine(b *testing.B) {
+	for _, size := range []int{10_000, 100_000} {
+		spec := many(size, 64)
+		b.Run(fmt.Sprintf("compile/tenants=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				compile(b, spec)
+			}
+		})
+		b.Run(fmt.Sprintf("force/tenants=%d", size), func(b *testing.B) {
+			m := module(b, spec, names(256)...)
+			a := compile(b, spec)
+			for b.Loop() {
+				m.Confine(2*sec, a)
+			}
+		})
+	}
+}
--- a/core/cells/explain.go
+++ b/core/cells/explain.go
@@ -12,27 +12,24 @@
 	Spill  string   `json:"spill,omitempty"` // used while the cell has no live cache
 }
 
-// Explain finds tenant, cell and caches of a request in a depot with these caches. The specification must have passed
-// its Check.
-func (s *Spec) Explain(depot string, caches []string, family int, class, object, named string) Answer {
-	line := newTable(s.Keys).find(family, class, object, named)
+// Explain finds tenant, cell and caches of a request in a depot with these caches.
+func (s *Spec) Explain(depot string, caches []string, family int, class, object, named string) (Answer, error) {
+	c, err := Compile(s)
+	if err != nil {
+		return Answer{}, err
+	}
+	line := c.keys.find(family, class, object, named)
 	a := Answer{Line: line, Tenant: s.Keys[line].Tenant, Spare: s.Spare}
-	for i := range s.Tenants {
-		t := &s.Tenants[i]
-		if t.Name != a.Tenant {
-			continue
-		}
-		home := s.cellOf(t, depot)
-		a.Cell, a.Spill = s.Cells[home].Name, s.Cells[home].Spill
-		a.Caches = divide(s.Cells, caches)[home]
-		switch s.Scheme {
-		case Shuffle:
-			a.Caches = draw(t.Name, caches, s.Width)
-		case Nested:
-			a.Caches = draw(t.Name, a.Caches, s.Width)
-		}
+	home := c.cellOf(int(c.ofKey[line]), depot)
+	a.Cell, a.Spill = s.Cells[home].Name, s.Cells[home].Spill
+	a.Caches = divide(s.Cells, caches)[home]
+	switch s.Scheme {
+	case Shuffle:
+		a.Caches = draw(a.Tenant, caches, s.Width)
+	case Nested:
+		a.Caches = draw(a.Tenant, a.Caches, s.Width)
 	}
-	return a
+	return a, nil
 }
 
 // Divide tells which caches each cell has in a depot, by the order of the cells.
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -103,22 +102,21 @@
 type Module struct {
 	Stats Stats
 
-	rules   *rules.Router
-	set     rules.Settings
-	rng     *rand.Rand
-	spec    *Spec
-	keys    *table
-	tenants []tenant
-	ofKey   []int32 // tenant by line of the table
-	cells   []cell
-	spare   int // -1: none
-	list    map[string]rules.Row
-	listed  int
-	caches  []string // listed ones of the own depot
-	confine []rules.Event
-	writes  map[string]bool
-	objects *Hitters // by KB asked for
-	open    map[string]open
+	rules    *rules.Router
+	set      rules.Settings
+	rng      *rand.Rand
+	assigned *Assignment
+	spec     *Spec // of the assignment
+	tenants  []tenant
+	cells    []cell
+	spare    int // -1: none
+	list     map[string]rules.Row
+	listed   int
+	caches   []string // listed ones of the own depot
+	confine  []rules.Event
+	writes   map[string]bool
+	objects  *Hitters // by KB asked for
+	open     map[string]open
 
 	requests, fills, parents, origin, puts *tree
 	most                                   int // requests open at once
@@ -139,48 +137,37 @@
 	return m, nil
 }
 
-// Confine puts a specification in force, or with nil none. Requests under way end where they began; what is known
-// of tenants that both have is kept. An error leaves the old one in force.
-func (m *Module) Confine(now int64, spec *Spec) error {
-	if spec == nil {
+// Confine puts an assignment in force, or with nil none. Requests under way end where they began; what is known of tenants
+// that both have is kept.
+func (m *Module) Confine(now int64, next *Assignment) {
+	m.dropSets(now)
+	if next == nil {
 		for i := range m.cells {
 			m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: i + 1}})
 		}
-		m.dropSets(now)
-		m.spec, m.cells, m.tenants, m.keys = nil, nil, nil, nil
+		m.assigned, m.spec, m.cells, m.tenants = nil, nil, nil, nil
 		clear(m.open)
-		return nil
-	}
-	if err := spec.Check(); err != nil {
-		return fmt.Errorf("cells.%w", err)
+		return
 	}
-	m.dropSets(now)
-	was := map[string]tenant{}
-	for _, t := range m.tenants {
-		was[t.name] = t
-	}
-	moved := map[int32]int32{}
-	old := m.tenants
-	m.spec, m.keys, m.spare = spec, newTable(spec.Keys), -1
-	byName := map[string]int32{}
+	was, old := m.assigned, m.tenants
+	spec := next.spec
+	m.assigned, m.spec, m.spare = next, spec, -1
 	m.tenants = make([]tenant, len(spec.Tenants))
+	moved := make([]int32, len(old)) // where tenants are now; -1: no more
+	for i := range moved {
+		moved[i] = -1
+	}
 	for i := range spec.Tenants {
 		t := &spec.Tenants[i]
-		byName[t.Name] = int32(i)
-		m.tenants[i] = tenant{name: t.Name, weight: cmp.Or(t.Weight, 1), cell: spec.cellOf(t, m.set.Zone), miss: missAtFirst, deep: deepAtFirst}
-		if o, known := was[t.Name]; known {
-			m.tenants[i].used, m.tenants[i].miss, m.tenants[i].deep = o.used, o.miss, o.deep
+		m.tenants[i] = tenant{name: t.Name, weight: cmp.Or(t.Weight, 1), cell: next.cellOf(i, m.set.Zone), miss: missAtFirst, deep: deepAtFirst}
+		if was == nil {
+			continue
 		}
-	}
-	for i, t := range old {
-		if n, known := byName[t.name]; known {
-			moved[int32(i)] = n
+		if o, known := was.byName[t.Name]; known {
+			moved[o] = int32(i)
+			m.tenants[i].used, m.tenants[i].miss, m.tenants[i].deep = old[o].used, old[o].miss, old[o].deep
 		}
 	}
-	m.ofKey = make([]int32, len(spec.Keys))
-	for i, k := range spec.Keys {
-		m.ofKey[i] = byName[k.Tenant]
-	}
 	before := m.cells
 	m.cells = make([]cell, len(spec.Cells))
 	shares := make([]float64, len(spec.Cells))
@@ -194,18 +181,13 @@
 			m.spare = i
 		}
 	}
-	cellNow := map[string]int{}
-	for i, c := range m.cells {
-		cellNow[c.name] = i
-	}
 	for call, o := range m.open { // those of cells and tenants that are no more are no longer counted
-		to, known := cellNow[before[o.cell].name]
-		who, stays := moved[o.tenant]
-		if !known || !stays {
+		to, known := next.places[before[o.cell].name]
+		if !known || moved[o.tenant] < 0 {
 			delete(m.open, call)
 			continue
 		}
-		o.cell, o.tenant = int32(to), who
+		o.cell, o.tenant = to, moved[o.tenant]
 		m.cells[to].open++
 		m.open[call] = o
 	}
@@ -226,7 +208,6 @@
 	m.origin = newTree(spec.Budget.OriginKbPerS/tier, shares, give)
 	m.most = spec.Budget.Open
 	m.divide(now)
-	return nil
 }
 
 // dropSets takes the tenants' own sets back.
@@ -380,7 +361,7 @@
 
 // Tenant tells whose request it is, by its place in the specification.
 func (m *Module) Tenant(ev *rules.Event) int {
-	return int(m.ofKey[m.keys.find(int(ev.Group), ev.Class, ev.Object, ev.Tenant)])
+	return int(m.assigned.ofKey[m.assigned.keys.find(int(ev.Group), ev.Class, ev.Object, ev.Tenant)])
 }
 
 // admit decides whether a request may try at all, and where. It costs no allocation.
--- a/core/cells/members.go
+++ b/core/cells/members.go
@@ -61,36 +61,62 @@
 	return q
 }
 
-// divide puts each cache into one cell: pairs of cell and cache in the order of their affinity, the greatest first, as
-// long as the cell has room (the stable matching where both sides prefer by affinity). Whoever has the same list
-// reckons the same, and a cache that is replaced moves little besides: see docs/cells.md for how much.
+// divide puts each cache into one cell, so that no cache and cell would both rather have each other: the stable matching where
+// both sides prefer by affinity, found by caches asking cells in turn (Gale and Shapley 1962). As preferences agree there is
+// but one, so whoever has the same list reckons the same, and a cache that is replaced moves little besides: docs/cells.md
+// tells how much.
 func divide(cells []Cell, caches []string) [][]string {
-	type pair struct {
-		cell, cache int32
-		a           float64
+	room := quotas(cells, len(caches))
+	in := make([][]string, len(cells))
+	if len(caches) == 0 {
+		return in
 	}
-	pairs := make([]pair, 0, len(cells)*len(caches))
-	for i, c := range cells {
-		for j, name := range caches {
-			pairs = append(pairs, pair{int32(i), int32(j), affinity(c.Name, name)})
+	// asked is a cache's next question: its affinity to each cell, until it has asked there.
+	width := len(cells)
+	a := make([]float64, width*len(caches))
+	for j, name := range caches {
+		for i := range cells {
+			a[j*width+i] = affinity(cells[i].Name, name)
 		}
 	}
-	slices.SortFunc(pairs, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(b.a, a.a), cmp.Compare(a.cell, b.cell), cmp.Compare(a.cache, b.cache))
-	})
-	room := quotas(cells, len(caches))
-	in := make([][]string, len(cells))
-	placed := make([]bool, len(caches))
-	for _, p := range pairs {
-		if placed[p.cache] || room[p.cell] == 0 {
+	asked := make([]bool, len(a))
+	held := make([][]int, width) // by cell, in no order
+	free := make([]int, len(caches))
+	for j := range caches {
+		free[j] = j
+	}
+	for len(free) > 0 {
+		j := free[len(free)-1]
+		free = free[:len(free)-1]
+		best := -1
+		for i := range cells {
+			if at := j*width + i; !asked[at] && room[i] > 0 && (best < 0 || a[at] > a[j*width+best]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			continue // all that have room for any have better ones: there are as many places as caches, so this can't be
+		}
+		asked[j*width+best] = true
+		if held[best] = append(held[best], j); len(held[best]) <= room[best] {
 			continue
 		}
-		placed[p.cache] = true
-		room[p.cell]--
-		in[p.cell] = append(in[p.cell], caches[p.cache])
+		worst := 0
+		for k, o := range held[best] {
+			if a[o*width+best] < a[held[best][worst]*width+best] {
+				worst = k
+			}
+		}
+		last := len(held[best]) - 1
+		free = append(free, held[best][worst])
+		held[best][worst] = held[best][last]
+		held[best] = held[best][:last]
 	}
-	for _, names := range in {
-		slices.Sort(names)
+	for i, js := range held {
+		for _, j := range js {
+			in[i] = append(in[i], caches[j])
+		}
+		slices.Sort(in[i])
 	}
 	return in
 }
--- a/core/cells/spec.go
+++ b/core/cells/spec.go
@@ -11,7 +11,6 @@
 package cells
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -245,9 +244,3 @@
 	}
 	return set
 }
-
-// cellOf is the place of a tenant's cell in a depot.
-func (s *Spec) cellOf(t *Tenant, depot string) int {
-	name := cmp.Or(t.Depots[depot], t.Cell)
-	return slices.IndexFunc(s.Cells, func(c Cell) bool { return c.Name == name })
-}
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -95,11 +95,6 @@
 			return fmt.Errorf("%s: %v is not %v to %v", f.name, f.value, f.least, f.most)
 		}
 	}
-	if c.Cells != nil {
-		if err := c.Cells.Check(); err != nil {
-			return fmt.Errorf("cells.%w", err)
-		}
-	}
 	if c.Flood != nil && (c.Flood.Tenant < 0 || c.Flood.Tenant >= c.Tenants) {
 		return fmt.Errorf("flood.tenant: %d is no tenant", c.Flood.Tenant)
 	}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -54,8 +54,8 @@
 	Events   int64            `json:"events"`
 	Attempts int64            `json:"attempts"`
 	Requests int64            `json:"requests"` // all tries of clients
-	Overdue  int64            `json:"overdue"` // clients that left unanswered
-	Lost     int64            `json:"lost"`    // requests at routers that died
+	Overdue  int64            `json:"overdue"`  // clients that left unanswered
+	Lost     int64            `json:"lost"`     // requests at routers that died
 	Hits     int64            `json:"hits"`
 	Looks    int64            `json:"looks"`
 	FillKb   float64          `json:"fillKb"`
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -154,6 +154,7 @@
 // World is one deployment on its day.
 type World struct {
 	cfg      Config
+	assigned *cells.Assignment // nil: no cells
 	now      int64
 	queue    queue
 	routers  []emRouter
@@ -197,6 +198,12 @@
 	}
 	w := &World{cfg: cfg, objects: map[uint64]string{}, stop: int64((cfg.WarmS + cfg.DayS) * float64(sec)),
 		flood: rand.New(rand.NewPCG(cfg.Seed, 0xf100d)), misc: rand.New(rand.NewPCG(cfg.Seed, 0x3153))}
+	if cfg.Cells != nil {
+		var err error
+		if w.assigned, err = cells.Compile(cfg.Cells); err != nil {
+			return nil, err
+		}
+	}
 	w.res = newResult(&cfg)
 	for i := range w.latency {
 		w.latency[i] = hdrhistogram.New(1, 10_000_000, 3)
@@ -309,10 +316,8 @@
 	if err != nil {
 		return err
 	}
-	if w.cfg.Cells != nil {
-		if err := module.Confine(w.now, w.cfg.Cells); err != nil {
-			return err
-		}
+	if w.assigned != nil {
+		module.Confine(w.now, w.assigned)
 	}
 	r.module, r.up, r.heard, r.told, r.free, r.buckets = module, true, 0, w.now, w.now, map[int32]*bucket{}
 	w.hear(id, len(w.changes), true)
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -41,6 +41,14 @@
 	return &f.Cells.Spec
 }
 
+// Assignment is the specification worked out; nil while the feature is off.
+func (f *File) Assignment() (*cells.Assignment, error) {
+	if spec := f.Spec(); spec != nil {
+		return cells.Compile(spec)
+	}
+	return nil, nil
+}
+
 // Load evaluates, decodes and checks a file. The error is one line: file, field, value and what is allowed.
 func Load(path string) (*File, error) {
 	text, err := evaluate(path)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,12 +142,12 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
-// Confine puts a specification of cells in force before it returns, or with nil none. An error leaves the old one.
-func (r *Router) Confine(spec *cells.Spec) error {
+// Confine puts an assignment of cells in force before it returns, or with nil none.
+func (r *Router) Confine(next *cells.Assignment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.last = max(r.last, clock.Micros(r.clock.Now()))
-	return r.rules.Confine(r.last, spec)
+	r.rules.Confine(r.last, next)
 }
 
 // Cells is a picture of the cells at present; nil while nothing is confined.
