Cells: bound fills open at the head office, foresee misses by part, lend less at once

Traced: in the first half second a flooder spent its full bucket and the whole pool, 150 fills were open at the head office, which slows past 15, and its collapse outlived the flood's admission by six seconds; a tenant's share of misses was learnt only after that. Change: a budget of fills open at the head office, kept in rules as the limit of what may ask it, with each account's share; a sketch tells parts asked for lately from others, so that a flood of new objects is reckoned as misses from its first request, and a tenant of whom little is known is taken for what its cell is; the pool holds half of what is due in Give.

--- a/core/cells/budget.go
+++ b/core/cells/budget.go
@@ -3,8 +3,8 @@
 import "math"
 
 // tree shares one rate among cells. Each cell has a bucket that fills at its own share; what runs over goes to a pool
-// that any cell may borrow from. A bucket holds what its cell is due in Give, and so does the pool: once the owner
-// wants its share its bucket no longer runs over, and what others can still borrow is gone within Give.
+// that any cell may borrow from. A bucket holds what its cell is due in Give, the pool half of what all are: once the
+// owner wants its share its bucket no longer runs over, and what others can still borrow is gone within Give.
 //
 // A fair queue would share as well, but it holds requests back, which spantack does not do: what can't go now is
 // refused now.
@@ -24,6 +24,9 @@
 // poolAmple is the part of a full pool down to which anyone may borrow.
 const poolAmple = 0.5
 
+// poolPart of what is due in Give is the depth of the pool.
+const poolPart = 0.5
+
 func newTree(perS float64, shares []float64, give float64) *tree {
 	t := &tree{rate: perS / 1e6, shares: shares, level: make([]float64, len(shares)), lent: make([]use, len(shares)), give: give}
 	for i := range t.level {
@@ -32,6 +35,10 @@
 	return t
 }
 
+// poolDepth is what can be borrowed at once: little, or a flood that comes out of nothing would take at once what all left in
+// Give, on top of what the others go on taking.
+func (t *tree) poolDepth() float64 { return poolPart * t.rate * t.give }
+
 func (t *tree) depth(cell int) float64 { return t.shares[cell] * t.rate * t.give }
 
 // fill brings the buckets up to now.
@@ -44,7 +51,7 @@
 		gone = 0
 	}
 	t.at = now
-	most := t.rate * t.give
+	most := t.poolDepth()
 	for i := range t.level {
 		l := t.level[i] + t.shares[i]*t.rate*gone
 		if d := t.depth(i); l > d {
@@ -62,7 +69,7 @@
 	switch {
 	case t.pool <= 0:
 		return false
-	case t.pool > poolAmple*t.rate*t.give:
+	case t.pool > poolAmple*t.poolDepth():
 		return true
 	}
 	sum, shares := 0.0, 0.0
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -14,20 +14,48 @@
 
 // What the gate starts from and moves by.
 const (
-	missAtFirst    = 0.3   // share of misses of a tenant of whom nothing is known
-	deepAtFirst    = 0.1   // and of those that reach the head office
-	missStep       = 0.05  // step of that share
 	sizeUnsaid     = 100.0 // KB of a request whose front does not tell its size
 	giveAtFirst    = 250.0 // ms, where the budget names none
 	crowdedShare   = 0.05  // share of requests refused by rules past which a cell is crowded
 	waitLeast      = 0.25  // least time to stay away of a request over budget, in parts of the longest
 	countEvery     = 500_000
+	seenWidth      = 1 << 16 // counters in a row of the sketch of parts asked for
+	seenDepth      = 3
+	seenHalfLife   = 20e6      // microseconds
+	seenAtLeast    = 0.2       // faded requests for a part that count as lately: one within 46 s
 	heavyObjects   = 256       // objects kept count of: each with more than 1/256 of all KB is among them
 	objectHalfLife = 60e6      // microseconds
 	busyWithin     = 2_000_000 // microseconds since its last request in which a tenant counts as one of its cell
 	mostOpenPart   = 0.9       // part of the requests open at once that cells may fill; the rest is for quiet tenants
 )
 
+// missesAtFirst are taken of a cell of which nothing is known.
+var missesAtFirst = misses{miss: [2]float64{0.5, 0.1}, deep: [2]float64{0.3, 0.05}}
+
+// misses is which part of requests is filled, and which from the head office: of parts that were not asked for lately, and
+// of others. A tenant of whom little has been seen is taken for what its cell is.
+type misses struct {
+	miss, deep, seen [2]float64
+}
+
+const (
+	missStep  = 0.05 // step of a tenant's shares, greater while few requests were seen
+	cellStep  = 0.01 // and of a cell's
+	missDoubt = 20   // requests of a tenant that weigh as much as what is known of its cell
+)
+
+func (m *misses) learn(lately int, missed, deep, least float64) {
+	step := max(least, 1/(m.seen[lately]+1))
+	m.seen[lately]++
+	m.miss[lately] += step * (missed - m.miss[lately])
+	m.deep[lately] += step * (deep - m.deep[lately])
+}
+
+func (m *misses) expect(lately int, cell *misses) (miss, deep float64) {
+	own := m.seen[lately] / (m.seen[lately] + missDoubt)
+	return own*m.miss[lately] + (1-own)*cell.miss[lately], own*m.deep[lately] + (1-own)*cell.deep[lately]
+}
+
 // Reason tells why a request was refused at the gate, for logs and `spanctl`.
 type Reason int
 
@@ -54,10 +82,9 @@
 	name   string
 	weight float64
 	cell   int
-	used   use     // in parts of what the depot can do in a second
-	miss   float64 // share of its requests that are filled
-	deep   float64 // and from the head office
-	setAt  int     // list of servers for which its own caches were drawn
+	used   use    // in parts of what the depot can do in a second
+	fills  misses // what its requests take from above
+	setAt  int    // list of servers for which its own caches were drawn
 	busy   bool
 }
 
@@ -70,6 +97,7 @@
 	names []string
 	fair  fair
 	open  int
+	fills misses // of all its tenants
 	// What rules refused of late, against what came.
 	asked, turned use
 }
@@ -88,6 +116,7 @@
 	kb     float64
 	fill   float64 // KB reckoned over the link
 	deep   float64 // and of the head office
+	lately int     // 1: its part was asked for lately
 	write  bool
 }
 
@@ -116,6 +145,7 @@
 	confine  []rules.Event
 	writes   map[string]bool
 	objects  *Hitters // by KB asked for
+	seen     *Counts  // requests, by part
 	open     map[string]open
 
 	requests, fills, parents, origin, puts *tree
@@ -145,10 +175,14 @@
 		for i := range m.cells {
 			m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: i + 1}})
 		}
+		m.rules.Step(now, []rules.Event{{Kind: rules.Confine}})
 		m.assigned, m.spec, m.cells, m.tenants = nil, nil, nil, nil
 		clear(m.open)
 		return
 	}
+	if m.seen == nil {
+		m.seen = NewCounts(seenWidth, seenDepth, seenHalfLife)
+	}
 	was, old := m.assigned, m.tenants
 	spec := next.spec
 	m.assigned, m.spec, m.spare = next, spec, -1
@@ -159,13 +193,13 @@
 	}
 	for i := range spec.Tenants {
 		t := &spec.Tenants[i]
-		m.tenants[i] = tenant{name: t.Name, weight: cmp.Or(t.Weight, 1), cell: next.cellOf(i, m.set.Zone), miss: missAtFirst, deep: deepAtFirst}
+		m.tenants[i] = tenant{name: t.Name, weight: cmp.Or(t.Weight, 1), cell: next.cellOf(i, m.set.Zone)}
 		if was == nil {
 			continue
 		}
 		if o, known := was.byName[t.Name]; known {
 			moved[o] = int32(i)
-			m.tenants[i].used, m.tenants[i].miss, m.tenants[i].deep = old[o].used, old[o].miss, old[o].deep
+			m.tenants[i].used, m.tenants[i].fills = old[o].used, old[o].fills
 		}
 	}
 	before := m.cells
@@ -175,7 +209,7 @@
 		at := func(name string) int {
 			return slices.IndexFunc(spec.Cells, func(o Cell) bool { return o.Name == name })
 		}
-		m.cells[i] = cell{name: c.Name, share: c.Share, spill: at(c.Spill), fair: fair{level: math.Inf(1)}}
+		m.cells[i] = cell{name: c.Name, share: c.Share, spill: at(c.Spill), fills: missesAtFirst, fair: fair{level: math.Inf(1)}}
 		shares[i] = c.Share
 		if c.Name == spec.Spare {
 			m.spare = i
@@ -207,6 +241,7 @@
 	m.parents = newTree(spec.Budget.ParentKbPerS/tier, shares, give)
 	m.origin = newTree(spec.Budget.OriginKbPerS/tier, shares, give)
 	m.most = spec.Budget.Open
+	m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Behind: float64(spec.Budget.OriginOpen) / tier}})
 	m.divide(now)
 }
 
@@ -384,7 +419,12 @@
 	if kb <= 0 {
 		kb = sizeUnsaid
 	}
-	fill, deep := kb*t.miss, kb*t.deep
+	lately := 0
+	if m.seen.addHash(now, partHash(ev.Object, ev.Part), 1) >= 1+seenAtLeast {
+		lately = 1
+	}
+	miss, deeper := t.fills.expect(lately, &m.cells[t.cell].fills)
+	fill, deep := kb*miss, kb*deeper
 	if write {
 		fill, deep = 0, 0
 	}
@@ -450,7 +490,7 @@
 	}
 	c.open++
 	m.objects.Add(now, ev.Object, kb)
-	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, write: write}
+	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, lately: lately, write: write}
 	m.Stats.Admitted++
 	return None
 }
@@ -512,8 +552,8 @@
 		if ev.Note == 3 {
 			deep = 1
 		}
-		t.miss += missStep * (missed - t.miss)
-		t.deep += missStep * (deep - t.deep)
+		t.fills.learn(o.lately, missed, deep, missStep)
+		m.cells[t.cell].fills.learn(o.lately, missed, deep, cellStep)
 		m.fills.settle(int(o.cell), o.kb*missed-o.fill)
 		m.parents.settle(int(o.cell), o.kb*missed-o.fill)
 		m.origin.settle(int(o.cell), o.kb*deep-o.deep)
--- a/core/cells/sketch.go
+++ b/core/cells/sketch.go
@@ -55,8 +55,16 @@
 
 // Add counts an amount under a key and returns the key's estimate with it.
 func (c *Counts) Add(now int64, key string, amount float64) float64 {
+	return c.addHash(now, xxhash.Sum64String(key), amount)
+}
+
+// partHash is the key of a part.
+func partHash(object string, part int64) uint64 {
+	return xxhash.Sum64String(object) ^ uint64(part+1)*0x9e3779b97f4a7c15
+}
+
+func (c *Counts) addHash(now int64, h uint64, amount float64) float64 {
 	c.age(now)
-	h := xxhash.Sum64String(key)
 	least := c.least(h)
 	to := least + float32(amount*c.scale)
 	for row := range c.depth {
--- a/core/cells/spec.go
+++ b/core/cells/spec.go
@@ -77,6 +77,7 @@
 	FillKbPerS   float64 `json:"fillKbPerS" jsonschema_description:"fills over the link into the depot; 0: what the settings tell of it"`
 	ParentKbPerS float64 `json:"parentKbPerS" jsonschema_description:"what all area caches can send to all depots"`
 	OriginKbPerS float64 `json:"originKbPerS" jsonschema_description:"what the head office can send to all depots"`
+	OriginOpen   int     `json:"originOpen" jsonschema_description:"fills open at once that may reach the head office, all routers of all depots"`
 	Open         int     `json:"open" jsonschema_description:"requests open at one router"`
 	WritesPerS   float64 `json:"writesPerS" jsonschema_description:"requests of uncacheable classes, apart from all others"`
 	GiveMs       float64 `json:"giveMs" jsonschema_description:"within this a share is free again for its owner; 250 if left out"`
@@ -170,7 +171,7 @@
 		name  string
 		value float64
 	}{{"requestsPerS", b.RequestsPerS}, {"fillKbPerS", b.FillKbPerS}, {"parentKbPerS", b.ParentKbPerS},
-		{"originKbPerS", b.OriginKbPerS}, {"open", float64(b.Open)}, {"writesPerS", b.WritesPerS}, {"giveMs", b.GiveMs}} {
+		{"originKbPerS", b.OriginKbPerS}, {"originOpen", float64(b.OriginOpen)}, {"open", float64(b.Open)}, {"writesPerS", b.WritesPerS}, {"giveMs", b.GiveMs}} {
 		if !(f.value >= 0 && f.value < 1e12) {
 			return fault("budget."+f.name, "%v is not 0 to 1e12", f.value)
 		}
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -225,6 +225,9 @@
 
 func (c *Config) originKbS() float64 { return max(c.OriginRoom*c.fillKbS()*0.35, 12*paceKbS) }
 
+// originKnee is how many answers the head office sends at once before it slows.
+func (c *Config) originKnee() float64 { return 2 * c.originKbS() / (3 * paceKbS) }
+
 // TenantShares is each tenant's part of the requests.
 func (c *Config) TenantShares() []float64 {
 	shares := make([]float64, c.Tenants)
--- a/emulator/spec.go
+++ b/emulator/spec.go
@@ -37,6 +37,7 @@
 		FillKbPerS:   budgetRoom * cfg.linkKbS(),
 		ParentKbPerS: budgetRoom * cfg.parentChannels() * float64(cfg.Parents) * paceKbS,
 		OriginKbPerS: budgetRoom * cfg.originKbS(),
+		OriginOpen:   int(10 * cfg.originKnee()),
 		Open:         2000,
 		GiveMs:       1000,
 		WritesPerS:   4 * cfg.RateS / float64(cfg.Depots) * classOf[report].share,
--- a/rules/limits.go
+++ b/rules/limits.go
@@ -97,7 +97,7 @@
 	switch slow := float64(ev.UpstreamWait) > limitTargetMean*r.aim(q); {
 	case !a.fills || ev.Note != 3:
 	case !slow:
-		b.limit = min(b.limit*behindGrowth+behindStep, behindMost)
+		b.limit = min(b.limit*behindGrowth+behindStep, r.behindMost)
 	case r.now-b.cutAt > int64(r.sendMean[q.class]): // of what is out now, or hundreds of it would go on
 		b.limit, b.cutAt = max(min(b.limit, float64(b.out+1))*limitCut, behindLeast), r.now
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,7 +24,7 @@
 		watched: map[int64]*request{}, tenants: map[string]*tenant{}, recent: map[string]int{},
 		sendMean: make([]float64, len(set.Classes)), behind: node{limit: behindMost}}
 	r.rng, r.upRank, r.empty = rand.New(r.pcg), newRanks(nil, false), &pool{rank: newRanks(nil, false)}
-	r.pools, r.behind.role = map[int]*pool{0: {list: -1}}, roleOrigin
+	r.pools, r.behind.role, r.behindMost = map[int]*pool{0: {list: -1}}, roleOrigin, behindMost
 	if len(set.Classes) == 0 {
 		return nil, fmt.Errorf("Classes: none")
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -3,6 +3,7 @@
 // What a Router remembers: the structures that the decisions beside it read and write. Nothing is decided here.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -141,6 +142,11 @@
 
 // confine takes a set of caches, and its account's share of what all share.
 func (r *Router) confine(ev *Event) {
+	if ev.Set == 0 {
+		r.behindMost = cmp.Or(ev.Behind, behindMost)
+		r.behind.limit = min(r.behind.limit, r.behindMost)
+		return
+	}
 	if len(ev.Names) == 0 {
 		delete(r.pools, ev.Set)
 		return
@@ -186,35 +192,36 @@
 
 // Router decides for one instance. It is not safe for concurrent use.
 type Router struct {
-	set       Settings
-	rng       *rand.Rand
-	pcg       *pcg // what rng draws from
-	now       int64
-	acts      []Action
-	classes   map[string]int
-	nodes     map[string]*node
-	caches    []*node // usable, of the own zone, by name
-	parents   []*node // usable, by name
-	pools     map[int]*pool
-	empty     *pool
-	shares    []float64 // by account, of servers that all share
-	listed    int       // counts lists of servers, and turned the breakers that opened or closed
-	turned    int
-	upRank    *ranks // of parents
-	origin    *node
-	behind    node // the origin as seen through parents: what may ask it in turn
-	requests  map[string]*request
-	purged    map[purgeKey]int64 // when an object, or a group, was purged
-	tenants   map[string]*tenant
-	recent    map[string]int
-	recentN   int
-	sendMean  []float64 // by class: mean sending time seen
-	tail      []float64 // by class: what few answers exceed, in usual times
-	spare     float64   // requests that may be called back as lost
-	peak      [roleOther + 1]float64
-	purgeSpan int64 // how long a purge matters
-	token     int64
-	watched   map[int64]*request // by token of the timer that looks at its attempt
-	hasX0     int
-	weighs    bool // weights tell the sizes of servers
+	set        Settings
+	rng        *rand.Rand
+	pcg        *pcg // what rng draws from
+	now        int64
+	acts       []Action
+	classes    map[string]int
+	nodes      map[string]*node
+	caches     []*node // usable, of the own zone, by name
+	parents    []*node // usable, by name
+	pools      map[int]*pool
+	empty      *pool
+	shares     []float64 // by account, of servers that all share
+	behindMost float64   // the limit of behind at most
+	listed     int       // counts lists of servers, and turned the breakers that opened or closed
+	turned     int
+	upRank     *ranks // of parents
+	origin     *node
+	behind     node // the origin as seen through parents: what may ask it in turn
+	requests   map[string]*request
+	purged     map[purgeKey]int64 // when an object, or a group, was purged
+	tenants    map[string]*tenant
+	recent     map[string]int
+	recentN    int
+	sendMean   []float64 // by class: mean sending time seen
+	tail       []float64 // by class: what few answers exceed, in usual times
+	spare      float64   // requests that may be called back as lost
+	peak       [roleOther + 1]float64
+	purgeSpan  int64 // how long a purge matters
+	token      int64
+	watched    map[int64]*request // by token of the timer that looks at its attempt
+	hasX0      int
+	weighs     bool // weights tell the sizes of servers
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -111,7 +111,7 @@
 	Timer                          // Token
 	Probed                         // Code, Node, Rtt, Metrics
 	Purged                         // Object ("" for a whole group), Group, Age
-	Confine                        // Set, Account, Share, Names
+	Confine                        // Set, Account, Share, Names; with Set 0: Behind
 )
 
 // Event is one thing the router is told.
@@ -149,6 +149,7 @@
 	Account int
 	Share   float64
 	Names   []string // of the set's caches; none: the set is dropped
+	Behind  float64  // the most fills out that may ask the origin in turn; 0: as learnt from its answers alone
 }
 
 // Row is one entry of a list of servers.
