--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -28,15 +28,16 @@
       { families: [0, 99], tenant: 'vending' },
       { tenant: 'tablets' },
     ],
-    // What all routers of a depot may take together, of area caches and head office what all routers of all depots may.
-    // 0: no limit; fillKbPerS 0: as the settings tell of the depot's link.
+    // What cells share, and so what is shared out among them. 0: no limit.
     budget: {
-      requestsPerS: 0,
-      fillKbPerS: 0,
-      parentKbPerS: 0,
-      originKbPerS: 0,
-      writesPerS: 0,
-      open: 0,
+      requestsPerS: 0,  // of all routers of a depot
+      fillKbPerS: 0,  // over the link into a depot; 0: as the settings tell
+      parentKbPerS: 0,  // from all area caches to all depots
+      originKbPerS: 0,  // from the head office to all depots
+      originOpen: 0,  // fills that may reach the head office, open at once, all routers of all depots
+      writesPerS: 0,  // requests of uncacheable classes, all routers of a depot
+      open: 0,  // requests open at one router
+      giveMs: 250,  // within this a share is free again for its owner
     },
   },
 }
