Routers write tenants' demand to their log; spanctl plans cells from it

Need: a plan must rest on measured demand, and the router kept it to itself. On SIGUSR1 and at its exit a router with cells on writes what each of its 500 greatest tenants asked for in the last minute; spanctl cells plan sums the last such line of each log.

--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -3,11 +3,13 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -155,18 +157,72 @@
 }
 
 type planCmd struct {
-	File      string  `arg:"" help:"The features file in force: its cells, and the present cell of each tenant."`
-	Demand    string  `required:"" help:"JSON: a list of {name, loads, worth}; loads by resource, the same order for all."`
-	MostWorth float64 `help:"The greatest part of all worth that one cell may hold; 0: any."`
-	MostMoves int     `default:"-1" help:"Tenants that may change their cell; -1: any number."`
-	Seed      uint64  `default:"1" help:"Seed of the search."`
+	File      string   `arg:"" help:"The features file in force: its cells, and the present cell of each tenant."`
+	Demand    []string `required:"" help:"Logs of routers with their lines 'demand', of which the last of each log counts, or JSON files with a list of {name, loads, worth}."`
+	MostWorth float64  `help:"The greatest part of all worth that one cell may hold; 0: any."`
+	MostMoves int      `default:"-1" help:"Tenants that may change their cell; -1: any number."`
+	Seed      uint64   `default:"1" help:"Seed of the search."`
 }
 
-// measured is one line of the demand file.
-type measured struct {
-	Name  string    `json:"name"`
-	Loads []float64 `json:"loads"`
-	Worth float64   `json:"worth"`
+// demandOf reads one file: a list, or a router's log, of which the last line with a demand counts.
+func demandOf(file string) (list []cells.Demand, err error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("[")) {
+		if err := json.Unmarshal(text, &list); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		return list, nil
+	}
+	found := false
+	for line := range bytes.Lines(text) {
+		var entry struct {
+			Message string         `json:"message"`
+			Demand  []cells.Demand `json:"demand"`
+		}
+		if json.Unmarshal(line, &entry) == nil && entry.Message == "demand" { // other lines are none of ours
+			list, found = entry.Demand, true
+		}
+	}
+	if !found {
+		return nil, fmt.Errorf("%s: neither a list nor a log with a line 'demand'", file)
+	}
+	return list, nil
+}
+
+// gather sums the demand of all files by tenant.
+func gather(files []string) ([]cells.Demand, error) {
+	var all []cells.Demand
+	place := map[string]int{}
+	for _, file := range files {
+		list, err := demandOf(file)
+		if err != nil {
+			return nil, err
+		}
+		for i, d := range list {
+			for _, load := range append(slices.Clone(d.Loads), d.Worth) {
+				if !(load >= 0 && load < 1e15) {
+					return nil, fmt.Errorf("%s[%d]: %v is no load", file, i, load)
+				}
+			}
+			at, known := place[d.Name]
+			if !known {
+				place[d.Name] = len(all)
+				all = append(all, d)
+				continue
+			}
+			if len(all[at].Loads) != len(d.Loads) {
+				return nil, fmt.Errorf("%s[%d]: %d loads of %s, %d before", file, i, len(d.Loads), d.Name, len(all[at].Loads))
+			}
+			for r, load := range d.Loads {
+				all[at].Loads[r] += load
+			}
+			all[at].Worth += d.Worth
+		}
+	}
+	return all, nil
 }
 
 func (c *planCmd) Run(out io.Writer) error {
@@ -174,14 +230,10 @@
 	if err != nil {
 		return err
 	}
-	text, err := os.ReadFile(c.Demand)
+	lines, err := gather(c.Demand)
 	if err != nil {
 		return err
 	}
-	var lines []measured
-	if err := json.Unmarshal(text, &lines); err != nil {
-		return fmt.Errorf("%s: %w", c.Demand, err)
-	}
 	place := map[string]int{}
 	aim := plan.Aim{MostWorth: c.MostWorth, MostMoves: c.MostMoves, Seed: c.Seed}
 	for i, cell := range spec.Cells {
@@ -193,16 +245,11 @@
 		now[t.Name] = place[t.Cell]
 	}
 	var demand []plan.Demand
-	for i, l := range lines {
+	for _, l := range lines {
 		at, known := now[l.Name]
 		if !known {
 			at = -1
 		}
-		for _, load := range append(l.Loads, l.Worth) {
-			if !(load >= 0 && load < 1e15) {
-				return fmt.Errorf("%s[%d]: %v is no load", c.Demand, i, load)
-			}
-		}
 		demand = append(demand, plan.Demand{Name: l.Name, Loads: l.Loads, Worth: l.Worth, Now: at})
 	}
 	p, err := plan.Make(demand, aim)
--- a/cmd/spanctl/main_test.go
+++ b/cmd/spanctl/main_test.go
@@ -23,6 +23,8 @@
 	old := file("old.jsonnet", strings.NewReplacer("%V", "1", "%C", "a").Replace(text))
 	next := file("new.jsonnet", strings.NewReplacer("%V", "2", "%C", "b").Replace(text))
 	demand := file("demand.json", `[{"name":"t","loads":[3,1],"worth":5},{"name":"u","loads":[3,1],"worth":5},{"name":"v","loads":[0.1,0.1],"worth":1}]`)
+	log := file("n0.log", `{"level":"info","message":"serving"}`+"\n"+`{"message":"demand","demand":[{"name":"t","loads":[9,9],"worth":9}]}`+"\n"+
+		`{"message":"demand","demand":[{"name":"t","loads":[1,2],"worth":3},{"name":"u","loads":[1,2],"worth":3}]}`+"\nno JSON\n")
 	for _, c := range []struct{ args, out, err string }{
 		{"check " + old, "cells: on, version 1, fixed, 2 cells, 2 tenants, 2 keys\n", ""},
 		{"check ../../deploy/features.jsonnet", "cells: off\n", ""},
@@ -33,6 +35,8 @@
 		{"cells diff " + next + " " + old, "version 1 is not after 2\n", ""},
 		{"cells plan " + old + " --demand " + demand, "t: from a to b", ""},
 		{"cells plan " + old + " --demand " + demand + " --most-worth 0.1", "", "no assignment keeps the bound on worth"},
+		{"cells plan " + old + " --demand " + log + "," + log, "worst cell 1.000 of an even one, bound 1.000, 1 moves", ""},
+		{"cells plan " + old + " --demand " + log + "," + demand, "v: new, to b\n", ""},
 		{"cells show ../../deploy/features.jsonnet", "", "cells are off"},
 		{"check " + demand, "", "is not an object"},
 		{"cells plan " + old + " --demand " + old, "", "old.jsonnet"},
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -256,7 +256,7 @@
 		Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).Int64("gone", n.Gone.Load()).
 		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Int64("client_faults", clientFaults).Int64("gave_way", gaveWay).
 		Int64("turned_away", turnedAway).Msg("counters")
-	p := core.Cells()
+	p, demand := core.Cells()
 	if p == nil {
 		return
 	}
@@ -267,4 +267,5 @@
 		}
 	}
 	line.Interface("cells", p.Cells).Interface("heavy", p.Heavy).Interface("objects", p.Objects).Msg("cells")
+	log.Info().Interface("demand", demand).Msg("demand")
 }
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -84,7 +84,8 @@
 	cell   int
 	used   use    // in parts of what the depot can do in a second
 	fills  misses // what its requests take from above
-	setAt  int    // list of servers for which its own caches were drawn
+	wants  wants
+	setAt  int // list of servers for which its own caches were drawn
 	busy   bool
 }
 
@@ -144,8 +145,9 @@
 	caches   []string // listed ones of the own depot
 	confine  []rules.Event
 	writes   map[string]bool
-	objects  *Hitters // by KB asked for
-	seen     *Counts  // requests, by part
+	gains    map[string]float64 // worth of a timely answer, by class
+	objects  *Hitters           // by KB asked for
+	seen     *Counts            // requests, by part
 	open     map[string]open
 
 	requests, fills, parents, origin, puts *tree
@@ -160,8 +162,9 @@
 		return nil, err
 	}
 	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{},
-		open: map[string]open{}, writes: map[string]bool{}, objects: NewHitters(heavyObjects, objectHalfLife)}
+		open: map[string]open{}, writes: map[string]bool{}, gains: map[string]float64{}, objects: NewHitters(heavyObjects, objectHalfLife)}
 	for i, c := range set.Classes {
+		m.gains[c.Name] = c.Gain
 		m.writes[c.Name] = i < len(set.Extra.PassOn) && set.Extra.PassOn[i]
 	}
 	return m, nil
@@ -199,7 +202,7 @@
 		}
 		if o, known := was.byName[t.Name]; known {
 			moved[o] = int32(i)
-			m.tenants[i].used, m.tenants[i].fills = old[o].used, old[o].fills
+			m.tenants[i].used, m.tenants[i].fills, m.tenants[i].wants = old[o].used, old[o].fills, old[o].wants
 		}
 	}
 	before := m.cells
@@ -440,6 +443,7 @@
 	}
 	used := t.used.add(now, cost) / t.weight
 	t.busy = true
+	t.wants.add(now, kb, fill, m.gains[ev.Class])
 	c.fair.all.add(now, cost)
 	c.fair.see(now, used)
 	over := c.fair.over(now, used)
--- a/core/cells/picture.go
+++ b/core/cells/picture.go
@@ -35,6 +35,42 @@
 // mostHeavy tenants are told of.
 const mostHeavy = 5
 
+// wants is what a tenant asked for of late, let in or not: what a plan must find room for.
+type wants struct {
+	requests, kb, fill, worth float64
+	at                        int64
+}
+
+// wantsSpan in microseconds is how long a request counts in a tenant's demand: a minute, as plans are not made for peaks.
+const wantsSpan = 60e6
+
+func (w *wants) add(now int64, kb, fill, worth float64) {
+	keep := math.Exp(-float64(now-w.at) / wantsSpan)
+	w.requests, w.kb, w.fill, w.worth, w.at = w.requests*keep+1, w.kb*keep+kb, w.fill*keep+fill, w.worth*keep+worth, now
+}
+
+// Demand is what one tenant asks of one router: requests, KB and KB to be filled a second, and the worth of timely answers.
+type Demand struct {
+	Name  string    `json:"name"`
+	Loads []float64 `json:"loads"`
+	Worth float64   `json:"worth"`
+}
+
+// Demand lists what tenants asked for of late, the greatest by KB first, n at most.
+func (m *Module) Demand(now int64, n int) []Demand {
+	var all []Demand
+	for i := range m.tenants {
+		t := &m.tenants[i]
+		if t.wants.at == 0 {
+			continue
+		}
+		perS := math.Exp(-float64(now-t.wants.at)/wantsSpan) / (wantsSpan / 1e6)
+		all = append(all, Demand{t.name, []float64{t.wants.requests * perS, t.wants.kb * perS, t.wants.fill * perS}, t.wants.worth * perS})
+	}
+	slices.SortFunc(all, func(a, b Demand) int { return cmp.Or(cmp.Compare(b.Loads[1], a.Loads[1]), cmp.Compare(a.Name, b.Name)) })
+	return all[:min(n, len(all))]
+}
+
 // Picture tells how the cells are; nil while nothing is confined.
 func (m *Module) Picture(now int64) *Picture {
 	if m.spec == nil {
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -449,8 +449,7 @@
 
 func (w *World) arrive(depot int) {
 	rng := w.arrivals[depot]
-	tenant, _ := slices.BinarySearch(w.tenantCDF, rng.Float64())
-	tenant = min(tenant, w.cfg.Tenants-1)
+	tenant := w.tenant(rng)
 	u := rng.Float64() * w.classCDF[classes-1]
 	class := 0
 	for u > w.classCDF[class] {
@@ -466,14 +465,19 @@
 	w.nextPart(int32(len(w.sessions) - 1))
 }
 
+// tenant draws who asks.
+func (w *World) tenant(rng *rand.Rand) int {
+	at, _ := slices.BinarySearch(w.tenantCDF, rng.Float64())
+	return min(at, w.cfg.Tenants-1)
+}
+
 // underWay starts a depot with as many sessions in the midst of their parts as an endless day has.
 func (w *World) underWay(depot int) {
 	rng := w.arrivals[depot]
 	c := &classOf[video]
 	perS := w.cfg.RateS * c.share / (float64(c.partsLeast+c.partsMost) / 2) / float64(w.cfg.Depots)
 	for range int(perS * float64(partGap) / float64(sec) * float64(c.partsLeast+c.partsMost) / 2) {
-		tenant, _ := slices.BinarySearch(w.tenantCDF, rng.Float64())
-		tenant = min(tenant, w.cfg.Tenants-1)
+		tenant := w.tenant(rng)
 		key, object := w.object(rng, tenant, video)
 		parts := c.partsLeast + rng.IntN(c.partsMost-c.partsLeast+1)
 		w.sessions = append(w.sessions, session{int32(depot), int32(tenant), key, object, int32(rng.IntN(parts)), int32(parts)})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,11 +150,15 @@
 	r.rules.Confine(r.last, next)
 }
 
-// Cells is a picture of the cells at present; nil while nothing is confined.
-func (r *Router) Cells() *cells.Picture {
+// mostDemand is how many tenants' demand is told of.
+const mostDemand = 500
+
+// Cells is a picture of the cells at present, and what tenants asked for of late; nil while nothing is confined.
+func (r *Router) Cells() (*cells.Picture, []cells.Demand) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.rules.Picture(clock.Micros(r.clock.Now()))
+	now := clock.Micros(r.clock.Now())
+	return r.rules.Picture(now), r.rules.Demand(now, mostDemand)
 }
 
 // Apply takes a notice to the module before it returns; the first whole list is the one restored at the start.
--- a/lab/local/local_test.go
+++ b/lab/local/local_test.go
@@ -85,6 +85,21 @@
 	return cell
 }
 
+// waitLog returns once a router's log holds some words; the test's own limit ends a wait for nothing.
+func waitLog(t *testing.T, r *Router, words string) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		log, err := os.ReadFile(r.Log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(log), words) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Three routers, a flood by one tenant whose caches also fail now and then: no request of any tenant reaches a cache
 // outside its cell, every request has one right answer, and no two attempts of one were out at once.
 func TestFloodStaysInItsCell(t *testing.T) {
@@ -112,6 +127,12 @@
 			t.Errorf("family %d: %d failed", family+1, c.Failed)
 		}
 	}
+	for _, r := range d.Routers { // what a plan is made from is in the log
+		if err := r.Signal(syscall.SIGUSR1); err != nil {
+			t.Fatal(err)
+		}
+		waitLog(t, r, `"name":"loud"`)
+	}
 	cell := cellOf(t, d, text)
 	seen := map[string]int{}
 	for _, g := range d.Ledger.Gets() {
@@ -148,16 +169,7 @@
 			}
 		}
 		for _, r := range d.Routers { // the log tells when it is done; the test's own limit ends a wait for nothing
-			for {
-				log, err := os.ReadFile(r.Log)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if strings.Contains(string(log), says) {
-					break
-				}
-				time.Sleep(5 * time.Millisecond)
-			}
+			waitLog(t, r, says)
 		}
 	}
 	half := func(seed uint64) {
