Serve reports of a cell without caches; keep small sets of caches small

Found in reading: a stock report goes past the caches and was refused when its cell had none; and a set of four caches took 6 KB of tables, 30 MB for the 5,000 sets of shuffle sharding. Sets of up to eight caches are hashed name by name.

--- a/core/cells/cells_test.go
+++ b/core/cells/cells_test.go
@@ -356,6 +356,15 @@
 	}
 }
 
+// Reports go past the caches to the head office: a cell without a cache has them served all the same.
+func TestReportsNeedNoCache(t *testing.T) {
+	m := module(t, two(), "c0")
+	a := &asker{t: t, m: m, now: 2 * sec}
+	if page, report := a.ask(rules.Event{Group: 99, Object: "01"}), a.ask(rules.Event{Group: 99, Class: "report"}); page != "" || report != "o" {
+		t.Errorf("page sent to %q, report to %q", page, report)
+	}
+}
+
 // While its only cache drains, a cell's requests go to the neighbour that it names.
 func TestDrainingCacheHandsOver(t *testing.T) {
 	s := two()
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -209,10 +209,11 @@
 	m.cells = make([]cell, len(spec.Cells))
 	shares := make([]float64, len(spec.Cells))
 	for i, c := range spec.Cells {
-		at := func(name string) int {
-			return slices.IndexFunc(spec.Cells, func(o Cell) bool { return o.Name == name })
+		spill, named := next.places[c.Spill]
+		if !named {
+			spill = -1
 		}
-		m.cells[i] = cell{name: c.Name, share: c.Share, spill: at(c.Spill), fills: missesAtFirst, fair: fair{level: math.Inf(1)}}
+		m.cells[i] = cell{name: c.Name, share: c.Share, spill: int(spill), fills: missesAtFirst, fair: fair{level: math.Inf(1)}}
 		shares[i] = c.Share
 		if c.Name == spec.Spare {
 			m.spare = i
@@ -408,7 +409,8 @@
 	who := m.Tenant(ev)
 	t := &m.tenants[who]
 	home := t.cell
-	if !m.cells[home].live {
+	write := m.writes[ev.Class]
+	if straight := write && m.set.Extra.Straight; !straight && !m.cells[home].live { // what goes past the caches needs none
 		home = m.cells[home].spill
 		if home < 0 || !m.cells[home].live {
 			return NoCache
@@ -417,7 +419,6 @@
 	}
 	c := &m.cells[home]
 	c.asked.add(now, 1)
-	write := m.writes[ev.Class]
 	kb := ev.SizeKb
 	if kb <= 0 {
 		kb = sizeUnsaid
--- a/rules/rank.go
+++ b/rules/rank.go
@@ -17,6 +17,10 @@
 	fnvPrime  = 1099511628211
 )
 
+// fewServers are hashed name by name each time: a table for them would be larger than they are, and there may be a set of few
+// for each of thousands of tenants.
+const fewServers = 8
+
 // sortFrom is the number of servers taken one by one after which sorting the rest costs less.
 const sortFrom = 6
 
@@ -28,7 +32,8 @@
 	alike    bool       // all names have one length
 	shrink   []float64  // by server: a bound on its score is this times its hash's distance to the greatest
 	pow      []uint64   // by server: fnvPrime to the power of its name's length
-	add      [][]uint64 // by low byte, then by server; a row is made when first asked for
+	add      [][]uint64 // by low byte, then by server; a row is made when first asked for. With few servers there are none
+	few      []uint64   // with few servers: the row of the key at hand
 	hash     []uint64   // by server: of the key at hand, 53 bits; the greatest comes first among equal weights
 	first    int        // the best server by bound, for the key at hand
 	second   int        // the one behind it, -1 if there is none
@@ -41,8 +46,13 @@
 
 // newRanks prepares for a list that does not change from here on.
 func newRanks(nodes []*node, weighted bool) *ranks {
-	k := &ranks{nodes: nodes, add: make([][]uint64, 256), hash: make([]uint64, len(nodes)), pow: make([]uint64, len(nodes)),
+	k := &ranks{nodes: nodes, hash: make([]uint64, len(nodes)), pow: make([]uint64, len(nodes)),
 		shrink: make([]float64, len(nodes)), order: make([]int32, 0, len(nodes))}
+	if len(nodes) > fewServers {
+		k.add = make([][]uint64, 256)
+	} else {
+		k.few = make([]uint64, len(nodes))
+	}
 	k.alike = true
 	for i, n := range nodes {
 		k.alike = k.alike && len(n.name) == len(nodes[0].name)
@@ -66,17 +76,12 @@
 	}
 	h *= fnvPrime // the separator is a zero byte
 	k.taken, k.last, k.lastAt, k.order = 0, math.Inf(-1), -1, k.order[:0]
-	add := k.add[byte(h)]
-	if add == nil {
+	add := k.few
+	if k.add == nil {
+		k.row(add, byte(h))
+	} else if add = k.add[byte(h)]; add == nil {
 		add = make([]uint64, len(k.nodes))
-		for i, n := range k.nodes {
-			low := uint64(byte(h))
-			x := low
-			for j := range len(n.name) {
-				x = (x ^ uint64(n.name[j])) * fnvPrime
-			}
-			add[i] = x - low*k.pow[i]
-		}
+		k.row(add, byte(h))
 		k.add[byte(h)] = add
 	}
 	k.first, k.second = 0, -1
@@ -101,6 +106,17 @@
 	}
 }
 
+// row fills in what each name adds to a hash whose low byte is low.
+func (k *ranks) row(add []uint64, low byte) {
+	for i, n := range k.nodes {
+		x := uint64(low)
+		for j := range len(n.name) {
+			x = (x ^ uint64(n.name[j])) * fnvPrime
+		}
+		add[i] = x - uint64(low)*k.pow[i]
+	}
+}
+
 // bounds fills in the hashes where names or weights differ, and finds the two servers with the least bounds.
 func (k *ranks) bounds(h uint64, add []uint64) {
 	hash, pow, shrink := k.hash[:len(add)], k.pow[:len(add)], k.shrink[:len(add)]
