Say once which caches a tenant may use; keep the tests' plain ways with the tests

The caches of a tenant by scheme were worked out in three places (the set told to rules, CachesOf, Explain); cachesOf does it for all. plainFind and plainDivide, which only tests and benchmarks call, stood in the package itself.

--- a/core/cells/budget.go
+++ b/core/cells/budget.go
@@ -103,8 +103,8 @@
 		t.lent[cell].add(t.at, lent)
 		l += lent
 	}
-	// Debt ends within Give of the last request let in, or a lone huge object would shut its cell for long.
-	t.level[cell] = max(l, -t.depth(cell)-t.rate*t.give*t.shares[cell])
+	// Debt ends within twice Give of the last request let in, or a lone huge object would shut its cell for long.
+	t.level[cell] = max(l, -2*t.depth(cell))
 }
 
 // settle takes what was used beyond what was reckoned, or gives back what was not.
--- a/core/cells/explain.go
+++ b/core/cells/explain.go
@@ -22,13 +22,7 @@
 	a := Answer{Line: line, Tenant: s.Keys[line].Tenant, Spare: s.Spare}
 	home := c.cellOf(int(c.ofKey[line]), depot)
 	a.Cell, a.Spill = s.Cells[home].Name, s.Cells[home].Spill
-	a.Caches = divide(s.Cells, caches)[home]
-	switch s.Scheme {
-	case Shuffle:
-		a.Caches = draw(a.Tenant, caches, s.Width)
-	case Nested:
-		a.Caches = draw(a.Tenant, a.Caches, s.Width)
-	}
+	a.Caches = s.cachesOf(a.Tenant, caches, divide(s.Cells, caches)[home])
 	return a, nil
 }
 
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -375,27 +375,19 @@
 	}
 	if t.setAt != m.listed+1 {
 		t.setAt = m.listed + 1
-		from := m.cells[home].names
-		if m.spec.Scheme == Shuffle {
-			from = m.caches
-		}
 		m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: firstTenantSet + who, Account: t.cell + 1, Share: m.cells[t.cell].share,
-			Names: draw(t.name, from, m.spec.Width)}})
+			Names: m.CachesOf(who)}})
 	}
 	return firstTenantSet + who
 }
 
 // CachesOf names the caches that a tenant's requests go to at present; none while nothing is confined.
 func (m *Module) CachesOf(tenant int) []string {
-	switch {
-	case m.spec == nil || tenant < 0 || tenant >= len(m.tenants):
+	if m.spec == nil || tenant < 0 || tenant >= len(m.tenants) {
 		return nil
-	case m.spec.Scheme == Shuffle:
-		return draw(m.tenants[tenant].name, m.caches, m.spec.Width)
-	case m.spec.Scheme == Nested:
-		return draw(m.tenants[tenant].name, m.cells[m.tenants[tenant].cell].names, m.spec.Width)
 	}
-	return m.cells[m.tenants[tenant].cell].names
+	t := &m.tenants[tenant]
+	return m.spec.cachesOf(t.name, m.caches, m.cells[t.cell].names)
 }
 
 // Tenant tells whose request it is, by its place in the specification.
--- a/core/cells/keys.go
+++ b/core/cells/keys.go
@@ -1,7 +1,5 @@
 package cells
 
-import "slices"
-
 // table finds the first line of the key table that a request matches. Lines that the front's name for a tenant
 // decides are found by that name, the others by a trie over the object's hex digits; each holds few lines.
 type table struct {
@@ -105,11 +103,3 @@
 	}
 	return int(best)
 }
-
-// plainFind looks through all lines: what find must agree with.
-func plainFind(lines []Key, family int, class, object, named string) int {
-	return slices.IndexFunc(lines, func(k Key) bool {
-		return (k.Class == "" || k.Class == class) && k.holds(family) && (k.Named == "" || k.Named == named) &&
-			len(k.Prefix) <= len(object) && object[:len(k.Prefix)] == k.Prefix
-	})
-}
--- a/core/cells/members.go
+++ b/core/cells/members.go
@@ -121,22 +121,6 @@
 	return in
 }
 
-// plainDivide lets each cache alone take the cell of its greatest affinity weighted by share: nothing moves but the
-// cache replaced, and cells are uneven or empty. It stands here to be weighed against divide.
-func plainDivide(cells []Cell, caches []string) [][]string {
-	in := make([][]string, len(cells))
-	for _, name := range caches {
-		best, least := 0, math.Inf(1)
-		for i, c := range cells {
-			if s := -math.Log(affinity(c.Name, name)) / c.Share; s < least {
-				best, least = i, s
-			}
-		}
-		in[best] = append(in[best], name)
-	}
-	return in
-}
-
 // draw gives a tenant its own caches: the width of greatest affinity.
 func draw(tenant string, caches []string, width int) []string {
 	if len(caches) <= width {
@@ -161,3 +145,14 @@
 	slices.Sort(names)
 	return names
 }
+
+// cachesOf are those that a tenant may use of a depot's caches, in being those of its cell.
+func (s *Spec) cachesOf(tenant string, all, in []string) []string {
+	switch s.Scheme {
+	case Shuffle:
+		return draw(tenant, all, s.Width)
+	case Nested:
+		return draw(tenant, in, s.Width)
+	}
+	return in
+}
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -129,7 +129,7 @@
 	}
 }
 
-func (r *Result) offered(_ *World, w *wish) {
+func (r *Result) offered(w *wish) {
 	r.book(w, Tally{Asked: 1, Offered: classOf[w.class].gain})
 }
 func (r *Result) refused(w *wish) { r.book(w, Tally{Refused: 1}) }
@@ -172,9 +172,7 @@
 	}
 }
 
-func (r *Result) asked(w *World, kb float64, _ *try) { r.askedKb(w, kb) }
-
-func (r *Result) askedKb(w *World, kb float64) {
+func (r *Result) asked(w *World, kb float64) {
 	if w.now >= r.warm && w.now < w.stop {
 		r.OriginKb += kb
 	}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -583,7 +583,7 @@
 	id := take(&w.wishes, &w.freeWish)
 	w.wishes[id] = wish{class: int32(class), tenant: int32(tenant), depot: int32(depot), key: key, object: object, part: part, kb: kb,
 		first: w.now, counted: w.now >= int64(w.cfg.WarmS*float64(sec))}
-	w.res.offered(w, &w.wishes[id])
+	w.res.offered(&w.wishes[id])
 	w.ask(id)
 }
 
@@ -984,7 +984,7 @@
 	t.active = true
 	if s.kind == originServer {
 		t.made = w.now
-		w.res.asked(w, wi.kb, t)
+		w.res.asked(w, wi.kb)
 		w.flow(id, t.node)
 		return
 	}
@@ -1040,7 +1040,7 @@
 		}
 		s.active++
 		t.srcActive, t.note, t.made = true, 3, w.now
-		w.res.asked(w, wi.kb, t)
+		w.res.asked(w, wi.kb)
 		w.flow(id, t.source)
 		return
 	}
@@ -1087,7 +1087,7 @@
 		w.fetchDone(f, func(id int32) { w.fillFailed(id, 10) })
 		return
 	}
-	w.res.askedKb(w, fe.kb)
+	w.res.asked(w, fe.kb)
 	o := &w.servers[w.origin]
 	w.links[o.link].add(w.now, fe.kb, transfer{owner: f, gen: fe.gen, stage: toParent})
 	w.arm(o.link)
