Moves in the gate: paced between a document's bounds, bounded by what the new cell bears

Need: a tenant that changes cells meets caches that do not know it; all at once that is a burst of fills, and a fixed ramp does not see what it does. A router now sends a share of a mover's objects between the document's floor and ceiling, goes back when the new cell answers late, waits when it has no room, and lets into it no more than its caches, link and area caches bear less what those that live there use. What has no room goes to the old cell, which still knows it.

--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"spantack/core/moves"
 	"spantack/rules"
 )
 
@@ -70,10 +71,11 @@
 	Origin          // of the head office
 	Writes          // its share of uncacheable requests
 	Open            // its share of requests open at once
+	Moving          // its tenant moves, the old cell has no live cache, and the new one can't bear more now
 	reasons
 )
 
-var reasonNames = [reasons]string{"none", "no live cache", "heavy tenant", "requests", "fills", "area caches", "head office", "writes", "open requests"}
+var reasonNames = [reasons]string{"none", "no live cache", "heavy tenant", "requests", "fills", "area caches", "head office", "writes", "open requests", "moving"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -85,7 +87,8 @@
 	used   use    // in parts of what the depot can do in a second
 	fills  misses // what its requests take from above
 	wants  wants
-	setAt  int // list of servers for which its own caches were drawn
+	move   *moving // nil: it stays where it is
+	setAt  int     // list of servers for which its own caches were drawn
 	busy   bool
 }
 
@@ -101,6 +104,7 @@
 	fills misses // of all its tenants
 	// What rules refused of late, against what came.
 	asked, turned use
+	room          moves.Room // for tenants that move into it
 }
 
 // crowded is told that rules refused a request. A few of those tell nothing; many tell that the cell is full.
@@ -119,12 +123,16 @@
 	deep   float64 // and of the head office
 	lately int     // 1: its part was asked for lately
 	write  bool
+	class  int
+	since  int64
+	way    way // of a tenant that moves
 }
 
 // Stats count since the start.
 type Stats struct {
 	Admitted, Spilled int64
 	Refused           [reasons]int64
+	Moved, Kept       int64 // requests of tenants on the move sent to the cell they move into; kept from it for want of room there
 }
 
 // Module is the decision module behind its gate: rules.Router with each request confined to its tenant's cell. Without
@@ -145,10 +153,16 @@
 	caches   []string // listed ones of the own depot
 	confine  []rules.Event
 	writes   map[string]bool
+	classes  map[string]int     // places in the settings
 	gains    map[string]float64 // worth of a timely answer, by class
 	objects  *Hitters           // by KB asked for
 	seen     *Counts            // requests, by part
 	open     map[string]open
+	doc      *moves.Document // nil: nobody moves
+	paths    []*moving       // moves of this depot that are not over
+	above    map[string]rules.Row
+	behind   []moves.Server // area caches listed
+	lookedAt int64          // when rooms were last measured
 
 	requests, fills, parents, origin, puts *tree
 	most                                   int // requests open at once
@@ -161,10 +175,10 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{},
-		open: map[string]open{}, writes: map[string]bool{}, gains: map[string]float64{}, objects: NewHitters(heavyObjects, objectHalfLife)}
+	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{}, above: map[string]rules.Row{},
+		open: map[string]open{}, writes: map[string]bool{}, classes: map[string]int{}, gains: map[string]float64{}, objects: NewHitters(heavyObjects, objectHalfLife)}
 	for i, c := range set.Classes {
-		m.gains[c.Name] = c.Gain
+		m.gains[c.Name], m.classes[c.Name] = c.Gain, i
 		m.writes[c.Name] = i < len(set.Extra.PassOn) && set.Extra.PassOn[i]
 	}
 	return m, nil
@@ -180,6 +194,7 @@
 		}
 		m.rules.Step(now, []rules.Event{{Kind: rules.Confine}})
 		m.assigned, m.spec, m.cells, m.tenants = nil, nil, nil, nil
+		m.doc, m.paths = nil, nil
 		clear(m.open)
 		return
 	}
@@ -213,7 +228,7 @@
 		if !named {
 			spill = -1
 		}
-		m.cells[i] = cell{name: c.Name, share: c.Share, spill: int(spill), fills: missesAtFirst, fair: fair{level: math.Inf(1)}}
+		m.cells[i] = cell{name: c.Name, share: c.Share, spill: int(spill), fills: missesAtFirst, fair: fair{level: math.Inf(1)}, room: moves.NewRoom()}
 		shares[i] = c.Share
 		if c.Name == spec.Spare {
 			m.spare = i
@@ -247,6 +262,7 @@
 	m.most = spec.Budget.Open
 	m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Behind: float64(spec.Budget.OriginOpen) / tier}})
 	m.divide(now)
+	m.bind(now)
 }
 
 // dropSets takes the tenants' own sets back.
@@ -326,16 +342,23 @@
 	}
 	if ev.Mode != "update" {
 		clear(m.list)
+		clear(m.above)
 	}
 	for _, row := range ev.Rows {
 		kind := slices.Index(m.set.Kinds, row.Kind)
-		if row.Status == "deregistered" || row.Zone != m.set.Zone || kind == m.set.Extra.MasterKind || kind == m.set.Extra.ShieldKind {
-			delete(m.list, row.Node)
-		} else {
+		shield := kind == m.set.Extra.ShieldKind
+		delete(m.list, row.Node)
+		delete(m.above, row.Node)
+		switch {
+		case row.Status == "deregistered":
+		case shield:
+			m.above[row.Node] = row
+		case row.Zone == m.set.Zone && kind != m.set.Extra.MasterKind:
 			m.list[row.Node] = row
 		}
 	}
 	m.listed++
+	m.lookedAt = 0
 }
 
 // divide tells rules which caches each cell has. Draining ones keep their place until they are gone, so that a cell is
@@ -402,6 +425,16 @@
 	t := &m.tenants[who]
 	home := t.cell
 	write := m.writes[ev.Class]
+	kb := ev.SizeKb
+	if kb <= 0 {
+		kb = sizeUnsaid
+	}
+	var by way
+	if t.move != nil && !write {
+		if home, by = m.route(now, t.move, ev, kb); by.why != None {
+			return by.why
+		}
+	}
 	if straight := write && m.set.Extra.Straight; !straight && !m.cells[home].live { // what goes past the caches needs none
 		home = m.cells[home].spill
 		if home < 0 || !m.cells[home].live {
@@ -411,10 +444,6 @@
 	}
 	c := &m.cells[home]
 	c.asked.add(now, 1)
-	kb := ev.SizeKb
-	if kb <= 0 {
-		kb = sizeUnsaid
-	}
 	lately := 0
 	if m.seen.addHash(now, partHash(ev.Object, ev.Part), 1) >= 1+seenAtLeast {
 		lately = 1
@@ -423,6 +452,8 @@
 	fill, deep := kb*miss, kb*deeper
 	if write {
 		fill, deep = 0, 0
+	} else if by.move != nil {
+		fill, deep = by.reckon(fill, deep, kb)
 	}
 	// What it takes of the depot, in seconds of the thing it takes most of.
 	cost := 1e-6
@@ -485,9 +516,14 @@
 	if m.spare >= 0 && home != m.spare {
 		ev.Spill = m.spare + 1
 	}
+	if by.into {
+		m.admitMover(&by, ev)
+	} else if !write {
+		c.room.Lives(now, kb, fill)
+	}
 	c.open++
 	m.objects.Add(now, ev.Object, kb)
-	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, lately: lately, write: write}
+	m.open[ev.Call] = open{tenant: int32(who), cell: int32(home), kb: kb, fill: fill, deep: deep, lately: lately, write: write, class: m.classes[ev.Class], since: now, way: by}
 	m.Stats.Admitted++
 	return None
 }
@@ -549,12 +585,15 @@
 		if ev.Note == 3 {
 			deep = 1
 		}
-		t.fills.learn(o.lately, missed, deep, missStep)
-		m.cells[t.cell].fills.learn(o.lately, missed, deep, cellStep)
+		if !o.way.cold { // what it finds in a cell that does not know it yet tells nothing of what it will take
+			t.fills.learn(o.lately, missed, deep, missStep)
+			m.cells[t.cell].fills.learn(o.lately, missed, deep, cellStep)
+		}
 		m.fills.settle(int(o.cell), o.kb*missed-o.fill)
 		m.parents.settle(int(o.cell), o.kb*missed-o.fill)
 		m.origin.settle(int(o.cell), o.kb*deep-o.deep)
 	}
+	m.saw(now, &o, ev)
 	if ev.Final {
 		m.over(ev.Call)
 	}
@@ -567,9 +606,13 @@
 		case rules.Refuse:
 			if o, known := m.open[a.Call]; known {
 				m.cells[o.cell].crowded(now)
+				m.unserved(now, &o)
 				m.over(a.Call)
 			}
 		case rules.Fail:
+			if o, known := m.open[a.Call]; known {
+				m.unserved(now, &o)
+			}
 			m.over(a.Call)
 		}
 	}
--- a/core/cells/sketch.go
+++ b/core/cells/sketch.go
@@ -75,6 +75,12 @@
 	return float64(to) / c.scale
 }
 
+// hashNow is the faded estimate of a key, which is not counted.
+func (c *Counts) hashNow(now int64, h uint64) float64 {
+	c.age(now)
+	return float64(c.least(h)) / c.scale
+}
+
 func (c *Counts) least(h uint64) float32 {
 	least := float32(math.MaxFloat32)
 	for row := range c.depth {
@@ -85,8 +91,7 @@
 
 // Estimate is what is counted under a key, faded to now.
 func (c *Counts) Estimate(now int64, key string) float64 {
-	c.age(now)
-	return float64(c.least(xxhash.Sum64String(key))) / c.scale
+	return c.hashNow(now, xxhash.Sum64String(key))
 }
 
 // Hitters finds the keys that take most, in bounded memory and with age: space saving (Metwally, Agrawal and El Abbadi 2005)
--- /dev/null
+++ b/core/moves/pace_test.go
@@ -0,0 +1,151 @@
+package moves
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// plant is a cell that answers in time while it gets up to a share of a tenant's objects, and late past that.
+type plant struct{ bears float64 }
+
+func (p plant) late(share float64, rng *rand.Rand) bool {
+	return rng.Float64() < 0.02+min(4*max(share-p.bears, 0), 0.9)
+}
+
+// drive takes a pace through a move in virtual time, with perS requests a second; each is called with the share at every look.
+func drive(m *Move, p *Pace, perS float64, rng *rand.Rand, cell func(now float64) plant, each func(now, share float64)) {
+	for now := m.Start - 1000; now < m.Start+m.Warm+m.slow()+m.Settle; now += 1000 / perS {
+		share := p.Step(now, m)
+		if over := rng.Float64() < share; over {
+			p.Saw(now, true, cell(now).late(share, rng))
+		} else {
+			p.Saw(now, false, rng.Float64() < 0.02)
+		}
+		p.Offered(now, true)
+		each(now, share)
+	}
+}
+
+// Whatever the cell bears, the share stays between the document's bounds, moves no faster than it may, and settles at what is borne
+// without passing it by more than the stated overshoot.
+func TestPaceSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Move{Start: 1e6, Shift: rapid.Float64Range(leastShift, 60_000).Draw(t, "shift"), Slow: 400_000}
+		bears := rapid.Float64Range(0.15, 1.2).Draw(t, "bears")
+		perS := rapid.Float64Range(30, 300).Draw(t, "perS")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var p Pace
+		last, lastAt, most, after := 0.0, 0.0, 0.0, 0.0
+		drive(&m, &p, perS, rng, func(float64) plant { return plant{bears} }, func(now, share float64) {
+			if share < m.Floor(now)-m.SlewUp()*2*paceEvery || share > m.Share(now)+1e-9 {
+				t.Fatalf("%v at %v, allowed %v to %v", share, now, m.Floor(now), m.Share(now))
+			}
+			if d := share - last; now > m.Start && now < m.Start+m.slow() && (d > m.SlewUp()*(now-lastAt)+m.SlewUp()*4*paceEvery || d < -SlewDown*4*paceEvery) {
+				t.Fatalf("from %v to %v within %v ms", last, share, now-lastAt)
+			}
+			last, lastAt = share, now
+			if m.Floor(now) < bears { // past that the document itself asks for more than is borne
+				most = max(most, share)
+			}
+			if now > m.Start+4*m.Shift && m.Floor(now) < bears/2 {
+				after = max(after, share)
+			}
+		})
+		over := m.SlewUp() * (paceEvery + 1000*paceFew/(perS*max(bears, 0.1)) + 2*paceSpan)
+		if most > min(bears+over+0.1, 1.0001) {
+			t.Fatalf("went to %v where %v is borne and %v is the overshoot", most, bears, over)
+		}
+		if bears >= 1 && p.Share() < 1 {
+			t.Fatalf("all is borne, and it ends at %v", p.Share())
+		}
+	})
+}
+
+// A cell that does harm for a while turns the share back, and it goes on once that is over.
+func TestPaceGoesBackAndOn(t *testing.T) {
+	m := Move{Start: 1e6, Shift: 40_000, Slow: 400_000}
+	var p Pace
+	rng := rand.New(rand.NewPCG(4, 4))
+	atTrouble, least := 0.0, 1.0
+	drive(&m, &p, 200, rng, func(now float64) plant {
+		if now > 1e6+20_000 && now < 1e6+45_000 {
+			return plant{-1}
+		}
+		return plant{2}
+	}, func(now, share float64) {
+		switch {
+		case now < 1e6+20_000:
+			atTrouble = share
+		case now < 1e6+45_000:
+			least = min(least, share)
+		}
+	})
+	if atTrouble < 0.3 || least > atTrouble/2 || p.Share() != 1 {
+		t.Errorf("at %v when trouble came, down to %v, %v at the end", atTrouble, least, p.Share())
+	}
+}
+
+// Without room the share stays; with room again it goes on.
+func TestPaceWaitsForRoom(t *testing.T) {
+	m := Move{Start: 1e6, Shift: 20_000, Slow: 1e6}
+	var p Pace
+	p.Step(m.Start, &m)
+	held := 0.0
+	for i := range 4000 {
+		now := m.Start + float64(i)*20
+		room := now < m.Start+10_000 || now > m.Start+50_000
+		p.Offered(now, room)
+		p.Step(now, &m)
+		if now < m.Start+13_000 {
+			held = p.Share()
+		}
+		if now > m.Start+13_000 && now < m.Start+50_000 && p.Share() > max(held, m.Floor(now))+1e-9 {
+			t.Fatalf("%v after %v though there is no room", p.Share(), held)
+		}
+	}
+	if p.Share() < 0.99 {
+		t.Errorf("ends at %v", p.Share())
+	}
+}
+
+// Two versions of a document that race: a router goes from the one to the other by bounded steps, wherever it stands.
+func TestPaceNeverJumpsBetweenVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := []Move{}
+		for range 3 {
+			m := Move{Start: 1e6 + rapid.Float64Range(-50_000, 50_000).Draw(t, "start"), Shift: rapid.Float64Range(leastShift, 100_000).Draw(t, "shift")}
+			m.Slow = m.Shift * rapid.Float64Range(1, 3).Draw(t, "slow")
+			if rapid.Bool().Draw(t, "back") {
+				m.BackAt = m.Start + rapid.Float64Range(0, 60_000).Draw(t, "backAt")
+			}
+			m.Unbounded = rapid.Bool().Draw(t, "unbounded")
+			versions = append(versions, m)
+		}
+		var p Pace
+		last := p.Step(1e6, &versions[0])
+		for now := 1e6; now < 1e6+200_000; now += 100 {
+			m := &versions[int(rapid.IntRange(0, 2).Draw(t, "version"))]
+			share := p.Step(now, m)
+			if math.Abs(share-last) > 4*paceEvery*max(m.SlewUp(), SlewDown)+1e-9 {
+				t.Fatalf("from %v to %v", last, share)
+			}
+			last = share
+		}
+	})
+}
+
+func BenchmarkPaceStep(b *testing.B) {
+	m := move()
+	var p Pace
+	now := m.Start
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 0.1
+		p.Saw(now, true, false)
+		p.Offered(now, true)
+		p.Step(now, &m)
+	}
+}
