--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -105,6 +105,7 @@
 	// What rules refused of late, against what came.
 	asked, turned use
 	room          moves.Room // for tenants that move into it
+	warm          float64    // part of what its listed caches would bear warm that they bear
 }
 
 // crowded is told that rules refused a request. A few of those tell nothing; many tell that the cell is full.
@@ -139,6 +140,8 @@
 // a specification it is rules.Router and nothing else. It is not safe for concurrent use.
 type Module struct {
 	Stats Stats
+	// Ahead, in microseconds, is how far the clock by which documents of moves are read is ahead of the times of events.
+	Ahead int64
 
 	rules    *rules.Router
 	set      rules.Settings
--- a/core/cells/moving.go
+++ b/core/cells/moving.go
@@ -117,7 +117,7 @@
 }
 
 // millis is the document's time.
-func millis(now int64) float64 { return float64(now) / 1000 }
+func (m *Module) millis(now int64) float64 { return float64(now+m.Ahead) / 1000 }
 
 // look steps the paces, and measures what cells bear.
 func (m *Module) look(now int64) {
@@ -125,14 +125,6 @@
 		return
 	}
 	m.lookedAt = now
-	for _, p := range m.paths {
-		share := p.pace.Step(millis(now), p.move)
-		cell := p.from
-		if share >= 0.5 {
-			cell = p.to
-		}
-		m.tenants[m.assigned.byName[p.move.Tenant]].cell = cell
-	}
 	caches, above := m.terms()
 	m.behind = m.behind[:0]
 	for _, name := range sortedRows(m.above) {
@@ -149,9 +141,13 @@
 	for i := range m.cells {
 		c := &m.cells[i]
 		servers = servers[:0]
+		whole := 0.0 // what all listed ones would bear warm
 		for _, name := range c.names {
-			if row := m.list[name]; row.Status == "healthy" {
-				servers = append(servers, moves.Server{Weight: max(row.Weight, 1), CameUp: row.CameUp})
+			row := m.list[name]
+			weight := max(row.Weight, 1)
+			whole += weight * caches.PaceKbPerS
+			if row.Status == "healthy" {
+				servers = append(servers, moves.Server{Weight: weight, CameUp: row.CameUp})
 			}
 		}
 		kb, _ := caches.KbPerS(now, servers)
@@ -165,6 +161,18 @@
 			}
 		}
 		c.room.Bears(now, kb/routers, fills)
+		if c.warm = 0; whole > 0 {
+			c.warm = kb / whole
+		}
+	}
+	for _, p := range m.paths {
+		p.pace.Bears(min(m.cells[p.from].warm, m.cells[p.to].warm))
+		share := p.pace.Step(m.millis(now), p.move)
+		cell := p.from
+		if share >= 0.5 {
+			cell = p.to
+		}
+		m.tenants[m.assigned.byName[p.move.Tenant]].cell = cell
 	}
 }
 
@@ -191,7 +199,7 @@
 // it bears; else it is refused.
 func (m *Module) route(now int64, p *moving, ev *rules.Event, kb float64) (int, way) {
 	m.look(now)
-	ms, mv := millis(now), p.move
+	ms, mv := m.millis(now), p.move
 	if !mv.Pending(ms) {
 		p.note(m, now, ev)
 		if mv.Phase(ms) == moves.Done {
@@ -245,7 +253,7 @@
 // note books that a part was asked for in the cell where its tenant still lives.
 func (p *moving) note(m *Module, now int64, ev *rules.Event) {
 	cell := p.from
-	if p.move.GoesBack(millis(now)) {
+	if p.move.GoesBack(m.millis(now)) {
 		cell = p.to
 	}
 	m.seen.addHash(now, cellHash(ev, cell), 1)
@@ -288,7 +296,7 @@
 	if o.way.move == nil {
 		return
 	}
-	o.way.move.pace.Saw(millis(now), o.way.into, float64(now-o.since) > m.aims(o))
+	o.way.move.pace.Saw(m.millis(now), o.way.into, float64(now-o.since) > m.aims(o))
 }
 
 // aims is how long an answer may take in full worth, in microseconds.
@@ -303,7 +311,7 @@
 // unserved tells a move's pace of a request that rules refused or failed.
 func (m *Module) unserved(now int64, o *open) {
 	if o.way.move != nil {
-		o.way.move.pace.Saw(millis(now), o.way.into, true)
+		o.way.move.pace.Saw(m.millis(now), o.way.into, true)
 	}
 }
 
@@ -320,7 +328,7 @@
 
 // Paths tells how far the moves of this depot are.
 func (m *Module) Paths(now int64) []MoveNow {
-	ms := millis(now)
+	ms := m.millis(now)
 	var all []MoveNow
 	for _, p := range m.paths {
 		all = append(all, MoveNow{p.move.Tenant, p.move.From, p.move.To, p.move.Phase(ms).String(), p.pace.Share(), p.move.Floor(ms), p.move.Share(ms)})
--- a/core/moves/document.go
+++ b/core/moves/document.go
@@ -178,6 +178,15 @@
 	}
 }
 
+// Resumed is a held move as it goes on from a time: what was still to come is later by as long as it was held.
+func (m Move) Resumed(now float64) Move {
+	if m.HeldAt > 0 && now > m.HeldAt {
+		m.Start += now - m.HeldAt
+	}
+	m.HeldAt = 0
+	return m
+}
+
 // Pending reports that objects are on their way, or that the other cell still takes what the new one can't bear.
 func (m *Move) Pending(now float64) bool { return now >= m.Start && now < m.Until() }
 
--- a/core/moves/pace.go
+++ b/core/moves/pace.go
@@ -10,6 +10,7 @@
 	lateMore  = 0.03   // part of late answers past that of the other cell that is harm
 	lateDoubt = 2.0    // and so many standard errors beside
 	fullPart  = 0.25   // part of what should go over and can't, past which the share stays
+	calmPart  = 0.8    // part of what a cell would bear warm, under which nothing more is moved into or out of it
 	speedUp   = 0.25   // of the greatest speed, added at each look that finds nothing wrong
 	// speedMost, in shares of a Shift: a router that has waited may catch up.
 	speedMost = 2.0
@@ -22,7 +23,7 @@
 func (m *Move) SlewUp() float64 { return speedMost / m.Shift }
 
 // Pace is how far one router is with one move. Between the document's Floor and Share it goes up while the new cell answers as well as the
-// old one, stays while the new cell has no room, and goes back while it answers later.
+// old one, stays while the new cell has no room or either cell is being replaced, and goes back while the new one answers later.
 //
 // It is stable in this sense: its speed is bounded by SlewUp and SlewDown, it looks every 250 ms at evidence that is forgotten over 3 s,
 // and it turns at the first look that finds harm. So it passes the share from which the new cell does harm by at most
@@ -34,6 +35,7 @@
 	begun bool
 	into  seen // answers of the cell that objects go to
 	other seen // and of the one that they come from
+	calm  bool // both cells bear most of what they can
 	offer seen // requests that should go over: late counts those that could not
 }
 
@@ -77,6 +79,10 @@
 	p.offer.add(now, n)
 }
 
+// Bears tells which part of what they would bear warm the cells of a move bear now, the lesser of both: in a deploy, or while caches are
+// lost, the share stays as far as the document lets it, and goes on by itself afterwards.
+func (p *Pace) Bears(part float64) { p.calm = part >= calmPart }
+
 // Share is the present part of the tenant's objects, in their order, that this router sends to the move's new cell.
 func (p *Pace) Share() float64 { return p.share }
 
@@ -100,7 +106,7 @@
 		return p.share
 	case p.harm(now):
 		p.speed = -m.SlewUp() / 2
-	case p.full(now):
+	case !p.calm || p.full(now):
 		p.speed = min(p.speed, 0)
 	default:
 		p.speed = min(max(p.speed, 0)+speedUp*m.SlewUp(), m.SlewUp())
--- a/core/moves/pace_test.go
+++ b/core/moves/pace_test.go
@@ -18,6 +18,7 @@
 // drive takes a pace through a move in virtual time, with perS requests a second; each is called with the share at every look.
 func drive(m *Move, p *Pace, perS float64, rng *rand.Rand, cell func(now float64) plant, each func(now, share float64)) {
 	for now := m.Start - 1000; now < m.Start+m.Warm+m.slow()+m.Settle; now += 1000 / perS {
+		p.Bears(1)
 		share := p.Step(now, m)
 		if over := rng.Float64() < share; over {
 			p.Saw(now, true, cell(now).late(share, rng))
@@ -98,6 +99,7 @@
 		now := m.Start + float64(i)*20
 		room := now < m.Start+10_000 || now > m.Start+50_000
 		p.Offered(now, room)
+		p.Bears(1)
 		p.Step(now, &m)
 		if now < m.Start+13_000 {
 			held = p.Share()
@@ -111,6 +113,26 @@
 	}
 }
 
+// While either cell is being replaced the share stays, but for what the document asks; afterwards it goes on by itself.
+func TestPaceWaitsOutADeploy(t *testing.T) {
+	m := Move{Start: 1e6, Shift: 20_000, Slow: 1e6}
+	var p Pace
+	held := 0.0
+	for now := m.Start; now < m.Start+70_000; now += 100 {
+		deploy := now > m.Start+5000 && now < m.Start+35_000
+		p.Bears(map[bool]float64{true: 0.79, false: 1}[deploy])
+		share := p.Step(now, &m)
+		if !deploy {
+			held = share
+		} else if share > max(held, m.Floor(now))+m.SlewUp()*2*paceEvery {
+			t.Fatalf("%v after %v in the deploy", share, held)
+		}
+	}
+	if p.Share() < 0.99 {
+		t.Errorf("ends at %v", p.Share())
+	}
+}
+
 // Two versions of a document that race: a router goes from the one to the other by bounded steps, wherever it stands.
 func TestPaceNeverJumpsBetweenVersions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -11,6 +11,7 @@
 	"math"
 
 	"spantack/core/cells"
+	"spantack/core/moves"
 	"spantack/rules"
 )
 
@@ -47,6 +48,19 @@
 	Flood  *Flood      `json:"flood,omitempty"`
 	Poison *Poison     `json:"poison,omitempty"`
 	Faults []Fault     `json:"faults,omitempty"`
+
+	Changes []Change `json:"-"`                // of cells and moves, in the order of their times
+	Movers  []int    `json:"-"`                // tenants counted apart
+	EndS    float64  `json:"-"`                // when the last has moved, as the documents have it
+	SkewMs  float64  `json:"skewMs,omitempty"` // clocks of routers, for documents, are apart by twice that at most
+}
+
+// Change is a new assignment, document of moves, or both, which each router takes in within reloadsIn of its time. A router that starts
+// later has the last one.
+type Change struct {
+	AtS   float64
+	Cells *cells.Spec     // nil: the one before stays
+	Moves *moves.Document // nil: the one before stays
 }
 
 // Flood is one tenant at a multiple of its load for a while.
@@ -69,14 +83,29 @@
 
 // Fault is something that happens to machines.
 type Fault struct {
-	Kind  string  `json:"kind"` // "router", "cache", "depot", "deploy" or "parent"
-	Depot int     `json:"depot"`
+	Kind  string  `json:"kind"`  // "router", "cache", "depot", "deploy" or "parent"
+	Depot int     `json:"depot"` // -1: in every one
 	Which int     `json:"which"`
 	AtS   float64 `json:"atS"`
 	ForS  float64 `json:"forS"` // how long it is away; of a deploy, how long that takes in all
 	Part  float64 `json:"part"` // of a deploy: the part of the caches replaced
 }
 
+// everywhere spells out faults that happen in every depot.
+func (c *Config) everywhere() {
+	var all []Fault
+	for _, f := range c.Faults {
+		if f.Depot >= 0 {
+			all = append(all, f)
+			continue
+		}
+		for f.Depot = range c.Depots {
+			all = append(all, f)
+		}
+	}
+	c.Faults = all
+}
+
 // Check reports the first field that can't be used.
 func (c *Config) Check() error {
 	for _, f := range []struct {
@@ -104,8 +133,21 @@
 	if c.Group != nil && len(c.Group) != c.Tenants {
 		return errors.New("group: one for each tenant")
 	}
+	for i, ch := range c.Changes {
+		if !(ch.AtS >= 0) || i > 0 && ch.AtS < c.Changes[i-1].AtS || c.Cells == nil {
+			return fmt.Errorf("changes[%d]: needs cells, and a time not before the last", i)
+		}
+	}
+	for _, t := range c.Movers {
+		if t < 0 || t >= c.Tenants {
+			return fmt.Errorf("movers: %d is no tenant", t)
+		}
+	}
+	if !(c.SkewMs >= 0 && c.SkewMs <= 10_000) {
+		return fmt.Errorf("skewMs: %v is not 0 to 10000", c.SkewMs)
+	}
 	for i, f := range c.Faults {
-		if f.Depot < 0 || f.Depot >= c.Depots || f.Which < 0 {
+		if f.Depot < -1 || f.Depot >= c.Depots || f.Which < 0 {
 			return fmt.Errorf("faults[%d]: there is no such machine", i)
 		}
 	}
@@ -163,6 +205,7 @@
 	drainBinds     = 500 * ms
 	frontSees      = 2 * sec // until which clients are sent to a dead router
 	listTells      = 1200 * ms
+	reloadsIn      = 2 * sec
 )
 
 // meanKb of a request on a calm day, videos counted by the part.
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -91,7 +91,7 @@
 	}
 	id := w.addCache(0, 1)
 	w.now = sec
-	for i := 0; i < 10_000 && w.coldBears(id, 370); i++ {
+	for i := 0; i < 10_000 && w.coldBears(id, 370, 0); i++ {
 	}
 	if w.res.Broken["cold server pushed over"] != 1 || w.servers[id].up {
 		t.Errorf("a cold cache with ten thousand parts: %v", w.res.Broken)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -24,6 +24,7 @@
 	evFault               // id: fault; x: step
 	evBack                // id: server
 	evFront               // id: router; x: 1 seen up, 0 seen down
+	evChange              // id, gen: router; x: change
 )
 
 type event struct {
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -63,6 +63,22 @@
 	P50Ms    [classes]float64 `json:"p50Ms"`
 	P99Ms    [classes]float64 `json:"p99Ms"`
 	Gate     cells.Stats      `json:"gate"`
+	Movers   Tally            `json:"movers"`  // tenants counted apart
+	Stayers  Tally            `json:"stayers"` // and all others
+	// ColdMost is the greatest part of its bound that a server which started lately was sent, ColdShare the greatest part of one router's
+	// share of that, its largest request not counted.
+	ColdMost  float64 `json:"coldMost"`
+	ColdShare float64 `json:"coldShare"`
+	// CellFill is the greatest part of a cell's share of the depot's link that its caches filled over three seconds.
+	CellFill float64 `json:"cellFill"`
+	// CellBusy is the greatest part of what a cell's caches bear that was open at them, over three seconds.
+	CellBusy float64 `json:"cellBusy"`
+	// Spread is the greatest difference between two routers of a depot in their shares of one move.
+	Spread float64 `json:"spread"`
+	// DoneS is when the last router sent all of its movers' objects to their new cells.
+	DoneS float64 `json:"doneS"`
+	// Unended counts wishes that were neither served nor lost by the end.
+	Unended int64 `json:"unended"`
 	// Touched is the share of other tenants' worth served in depots on caches that the guilty tenant also used.
 	Touched float64 `json:"touched"`
 
@@ -70,6 +86,7 @@
 	guilty  int
 	own     int // its cell
 	warm    int64
+	movers  map[int32]bool
 	names   map[string]int32
 	used    map[int32]bool    // caches that the guilty tenant was sent to
 	worthAt map[int32]float64 // worth of the others that each cache served
@@ -78,6 +95,10 @@
 func newResult(cfg *Config) Result {
 	r := Result{Broken: map[string]int64{}, group: cfg.Group, guilty: -1, own: -1, warm: int64(cfg.WarmS * float64(sec)), names: map[string]int32{},
 		used: map[int32]bool{}, worthAt: map[int32]float64{}, Seconds: make([]Second, int(cfg.DayS)+1)}
+	r.movers = map[int32]bool{}
+	for _, t := range cfg.Movers {
+		r.movers[int32(t)] = true
+	}
 	most := 0
 	for _, g := range cfg.Group {
 		most = max(most, g)
@@ -120,6 +141,11 @@
 		r.Guilty.add(add)
 		return
 	}
+	if r.movers[w.tenant] {
+		r.Movers.add(add)
+	} else {
+		r.Stayers.add(add)
+	}
 	r.Class[w.class].add(add)
 	r.Groups[group].add(add)
 	if group == r.own {
@@ -188,10 +214,14 @@
 		s := &w.routers[i].module.Stats
 		r.Gate.Admitted += s.Admitted
 		r.Gate.Spilled += s.Spilled
+		r.Gate.Moved += s.Moved
+		r.Gate.Kept += s.Kept
 		for j := range s.Refused {
 			r.Gate.Refused[j] += s.Refused[j]
 		}
 	}
+	sum := r.Movers.Plus(r.Stayers)
+	r.Unended = sum.Asked - sum.Served - sum.Lost
 	all, touched := 0.0, 0.0
 	for id := range w.servers { // in the order of the servers: sums must come out the same
 		all += r.worthAt[int32(id)]
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -36,27 +36,30 @@
 const lastStage = intoDepot
 
 type server struct {
-	name    string
-	kind    int
-	depot   int
-	channel float64
-	up      bool
-	cameUp  int64 // 0: long ago
-	status  string
-	link    int32
-	most    int
-	active  int
-	fills   int
-	store   *lru
-	fetches map[uint64]int32 // parents: what is on its way from the head office, by part
-	sent    []work           // while cold
-	sum     float64
-	drained map[int32]int64 // when each router was told
+	name      string
+	kind      int
+	depot     int
+	channel   float64
+	up        bool
+	cameUp    int64 // 0: long ago
+	status    string
+	link      int32
+	most      int
+	active    int
+	fills     int
+	store     *lru
+	fetches   map[uint64]int32 // parents: what is on its way from the head office, by part
+	sent      []work           // while cold
+	sum       float64
+	drained   map[int32]int64 // when each router was told
+	cell      int32           // that it belongs to by the list at dividedAt
+	dividedAt int
 }
 
 type work struct {
-	at int64
-	kb float64
+	at     int64
+	kb     float64
+	router int32
 }
 
 type emRouter struct {
@@ -70,6 +73,8 @@
 	heard   int   // changes heard of
 	buckets map[int32]*bucket
 	seeds   *rand.Rand
+	ahead   int64 // of its clock
+	changed int   // changes of cells and moves taken in
 }
 
 // bucket is a plain rate limit for one tenant.
@@ -154,7 +159,10 @@
 // World is one deployment on its day.
 type World struct {
 	cfg      Config
-	assigned *cells.Assignment // nil: no cells
+	assigned *cells.Assignment   // nil: no cells
+	compiled []*cells.Assignment // by change; nil: the one before
+	gauges   []gauge             // by depot and cell
+	look     int64               // when routers' moves are next compared
 	now      int64
 	queue    queue
 	routers  []emRouter
@@ -196,6 +204,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	cfg.everywhere()
 	w := &World{cfg: cfg, objects: map[uint64]string{}, stop: int64((cfg.WarmS + cfg.DayS) * float64(sec)),
 		flood: rand.New(rand.NewPCG(cfg.Seed, 0xf100d)), misc: rand.New(rand.NewPCG(cfg.Seed, 0x3153))}
 	if cfg.Cells != nil {
@@ -204,6 +213,9 @@
 			return nil, err
 		}
 	}
+	if err := w.prepare(); err != nil {
+		return nil, err
+	}
 	w.res = newResult(&cfg)
 	for i := range w.latency {
 		w.latency[i] = hdrhistogram.New(1, 10_000_000, 3)
@@ -255,6 +267,9 @@
 	for d := range cfg.Depots {
 		for i := range cfg.Routers {
 			w.routers = append(w.routers, emRouter{depot: d, seen: true, seeds: rand.New(rand.NewPCG(cfg.Seed, uint64(0x4011+1000*d+i)))})
+			if cfg.SkewMs > 0 {
+				w.routers[len(w.routers)-1].ahead = int64((2*w.misc.Float64() - 1) * cfg.SkewMs * float64(ms))
+			}
 			if err := w.boot(int32(len(w.routers) - 1)); err != nil {
 				return nil, err
 			}
@@ -263,6 +278,7 @@
 		w.underWay(d)
 	}
 	w.prefill()
+	w.announce()
 	for i, f := range cfg.Faults {
 		w.push(event{at: int64(f.AtS * float64(sec)), kind: evFault, id: int32(i)})
 	}
@@ -273,7 +289,7 @@
 }
 
 func (w *World) addServer(s server) int32 {
-	s.up, s.status, s.drained = true, "healthy", map[int32]int64{}
+	s.up, s.status, s.drained, s.dividedAt = true, "healthy", map[int32]int64{}, -1
 	w.servers = append(w.servers, s)
 	id := int32(len(w.servers) - 1)
 	w.list(id)
@@ -316,11 +332,13 @@
 	if err != nil {
 		return err
 	}
+	module.Ahead = r.ahead
 	if w.assigned != nil {
 		module.Confine(w.now, w.assigned)
 	}
 	r.module, r.up, r.heard, r.told, r.free, r.buckets = module, true, 0, w.now, w.now, map[int32]*bucket{}
 	w.hear(id, len(w.changes), true)
+	w.restart(r)
 	return nil
 }
 
@@ -371,6 +389,11 @@
 func (w *World) handle(e *event) {
 	switch e.kind {
 	case evArrive:
+		if w.now >= w.look && len(w.cfg.Movers) > 0 {
+			w.look = w.now + sampleEvery
+			w.spread()
+			w.sample()
+		}
 		if w.now < w.stop {
 			w.push(event{at: w.now + w.gap(int(e.id)), kind: evArrive, id: e.id})
 			w.arrive(int(e.id))
@@ -436,6 +459,10 @@
 			}
 			w.list(e.id)
 		}
+	case evChange:
+		if r := &w.routers[e.id]; r.up && r.gen == e.gen {
+			w.takeIn(r, int(e.x))
+		}
 	case evFront:
 		w.routers[e.id].seen = e.x == 1
 	}
@@ -894,6 +921,7 @@
 	kb, s := w.kbOf(id), &w.servers[t.node]
 	w.move(id, w.servers[from].link, kb, fromAbove)
 	depot := w.routers[w.requests[t.request].router].depot
+	w.gaugeFill(t, depot, kb)
 	w.move(id, w.depotCap[depot], kb, intoDepot)
 	if s.kind == cacheServer {
 		w.move(id, s.link, kb, toRouter)
@@ -920,7 +948,7 @@
 }
 
 // coldBears books work at a server that started lately, and pushes it over if it is too much.
-func (w *World) coldBears(id int32, kb float64) bool {
+func (w *World) coldBears(id int32, kb float64, router int32) bool {
 	s := &w.servers[id]
 	from, span, mult := cacheColdFrom, int64(cacheColdFor), cacheFall
 	if s.kind == parentServer {
@@ -934,10 +962,12 @@
 		s.sum -= s.sent[0].kb
 		s.sent = s.sent[1:]
 	}
-	s.sent = append(s.sent, work{w.now, kb})
+	s.sent = append(s.sent, work{w.now, kb, router})
 	s.sum += kb
 	frac := from + (1-from)*float64(age)/float64(span)
-	if s.sum <= mult*frac*s.channel*paceKbS*float64(fallSpan)/1e6 {
+	most := mult * frac * s.channel * paceKbS * float64(fallSpan) / 1e6
+	w.coldUse(s, router, most)
+	if s.sum <= most {
 		return true
 	}
 	w.res.broken("cold server pushed over")
@@ -977,7 +1007,7 @@
 		w.end(id, rules.Busy, 0)
 		return
 	}
-	if !w.coldBears(t.node, wi.kb) {
+	if !w.coldBears(t.node, wi.kb, rq.router) {
 		return
 	}
 	s.active++
@@ -1027,7 +1057,7 @@
 		say(6)
 		return
 	}
-	if !w.coldBears(t.source, wi.kb) {
+	if !w.coldBears(t.source, wi.kb, w.requests[t.request].router) {
 		if w.tries[id].gen == t.gen {
 			say(7)
 		}
--- /dev/null
+++ b/lab/experiments/moves-evacuate.jsonnet
@@ -0,0 +1,27 @@
+// A cell is emptied into two others, of four, or three of eight: all at once, one tenant after the other, all together but paced, and as
+// planned. Others bear a third or half more than on a usual day only if they have room: rates and links are set so that they have.
+local worlds = import 'worlds.libsonnet';
+local trip(style) = {
+  small: { style: style, evacuate: 'cell-03', into: 2, startS: 6, warmS: 0, shiftS: 10, slow: 8, settleS: 10, hot: 0 },
+  full: { style: style, evacuate: 'cell-05', into: 3, startS: 6, warmS: 0, shiftS: 10, slow: 8, settleS: 10, hot: 0 },
+};
+local styles = ['none', 'atOnce', 'oneByOne', 'paced', 'planned'];
+{
+  title: 'Emptying a cell',
+  sizes: { small: worlds.small { dayS: 60, rateS: 250, linkRoom: 2.2, parentRoom: 2.2, originRoom: 3 }, full: worlds.full { dayS: 60, rateS: 14000, linkRoom: 2, parentRoom: 2, originRoom: 3 } },
+  watch: -1,
+  arms: { [style]: { cells: { small: 4, full: 8 }, trip: trip(style) } for style in styles },
+  days: { calm: {} },
+  claims: [
+    { name: 'fills into a cell as planned', of: 'planned/calm/cellFill', most: 1 },
+    { name: 'cells busy as planned', of: 'planned/calm/cellBusy', most: 1 },
+    { name: 'fills into a cell all at once', of: 'atOnce/calm/cellFill', least: 1 },
+    { name: 'time of the plan to one by one', of: 'planned/calm/endS', over: 'oneByOne/calm/endS', most: 0.5 },
+    { name: 'emptied by', of: 'planned/calm/doneS', most: 60 },
+    { name: 'moved tenants as planned', of: 'planned/calm/movers', over: 'none/calm/movers', least: 0.95 },
+    { name: 'all others as planned', of: 'planned/calm/stayers', over: 'none/calm/stayers', least: 0.99 },
+    { name: 'no rule broken', of: 'all/broken', most: 0 },
+  ],
+  table: ['movers', 'stayers', 'hits', 'originMb', 'fillMb', 'refused', 'moversRefused', 'cellFill', 'cellBusy', 'moved', 'kept', 'spread', 'endS', 'doneS', 'broken'],
+  chart: { figure: 'cellFill', title: 'Most fills into a cell, in parts of its share of the link', arms: styles, days: ['calm'] },
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -35,15 +35,17 @@
 	Arms   map[string]Arm             `json:"arms"`
 	Days   map[string]Day             `json:"days"`
 	Claims []Claim                    `json:"claims"`
+	Table  []string                   `json:"table,omitempty"` // figures in the table; left out: those of most experiments
 	Chart  Chart                      `json:"chart"`
 }
 
 // Arm is a way to be compared.
 type Arm struct {
-	Cells  Count   `json:"cells,omitempty"` // how many; 0: none
-	Scheme string  `json:"scheme,omitempty"`
-	Width  int     `json:"width,omitempty"`
-	Limit  float64 `json:"limit,omitempty"`
+	Cells  Count                     `json:"cells,omitempty"` // how many; 0: none
+	Scheme string                    `json:"scheme,omitempty"`
+	Width  int                       `json:"width,omitempty"`
+	Limit  float64                   `json:"limit,omitempty"`
+	Trip   map[string]*emulator.Trip `json:"trip,omitempty"` // by size
 }
 
 // Count is a number, or one for each size.
@@ -71,6 +73,7 @@
 	Flood  *emulator.Flood  `json:"flood,omitempty"`
 	Poison *emulator.Poison `json:"poison,omitempty"`
 	Faults []emulator.Fault `json:"faults,omitempty"`
+	SkewMs float64          `json:"skewMs,omitempty"`
 }
 
 // Claim bounds a figure, "ARM/DAY/FIGURE", or its quotient by another. "all/broken" sums up the broken rules of all runs.
@@ -228,6 +231,7 @@
 		return cfg, fmt.Errorf("size %q: there is none", size)
 	}
 	cfg.Seed, cfg.Flood, cfg.Poison, cfg.Faults, cfg.Limit = seed, day.Flood, day.Poison, day.Faults, arm.Limit
+	cfg.SkewMs = day.SkewMs
 	// Tenants are counted by the cells that they would have, also where none are in force.
 	count := arm.Cells.of(size)
 	group := count
@@ -247,6 +251,11 @@
 		overflow(spec)
 	}
 	cfg.Cells = spec
+	if trip := arm.Trip[size]; trip != nil {
+		if err := cfg.Relocate(trip); err != nil {
+			return cfg, fmt.Errorf("trip: %w", err)
+		}
+	}
 	return cfg, nil
 }
 
@@ -290,11 +299,11 @@
 			if err != nil {
 				return fmt.Errorf("%s/%s: %w", r.Arm, r.Day, err)
 			}
-			if cfg.Flood == nil && cfg.Poison == nil {
+			if cfg.Flood == nil && cfg.Poison == nil && e.Watch >= 0 {
 				w.Watch(e.Watch)
 			}
 			res := w.Run()
-			r.take(&res)
+			r.take(&cfg, &res)
 			return nil
 		})
 	}
@@ -315,7 +324,7 @@
 // round keeps figures short and free of the last bits.
 func round(x float64) float64 { return math.Round(x*1e5) / 1e5 }
 
-func (r *Run) take(res *emulator.Result) {
+func (r *Run) take(cfg *emulator.Config, res *emulator.Result) {
 	all := res.Others()
 	all = all.Plus(res.Cell())
 	r.Broken = res.Broken
@@ -325,6 +334,13 @@
 		"asked": float64(all.Asked), "attempts": float64(res.Attempts), "attemptsEach": float64(res.Attempts) / max(float64(res.Requests), 1), "events": float64(res.Events), "broken": float64(res.BrokenRules()),
 		"p50VideoMs": res.P50Ms[0], "p99VideoMs": res.P99Ms[0], "p50CatalogueMs": res.P50Ms[1], "p99CatalogueMs": res.P99Ms[1],
 		"p99ReportMs": res.P99Ms[2]}
+	if len(cfg.Movers) > 0 {
+		for name, v := range map[string]float64{"movers": res.Movers.Share(), "stayers": res.Stayers.Share(), "coldMost": res.ColdMost,
+			"coldShare": res.ColdShare, "cellFill": res.CellFill, "cellBusy": res.CellBusy, "spread": res.Spread, "doneS": res.DoneS, "moved": float64(res.Gate.Moved), "kept": float64(res.Gate.Kept),
+			"unanswered": float64(res.Overdue), "unended": float64(res.Unended), "endS": cfg.EndS, "moversRefused": float64(res.Movers.Refused) / max(float64(res.Movers.Asked), 1)} {
+			r.Figures[name] = v
+		}
+	}
 	for why, n := range res.Gate.Refused {
 		if n > 0 {
 			r.Figures["gate "+cells.Reason(why).String()] = float64(n)
--- a/lab/report.go
+++ b/lab/report.go
@@ -79,10 +79,14 @@
 		seeds[i] = fmt.Sprint(o.Seed)
 	}
 	fmt.Fprintf(&b, "# %s: %s\n\nSize %s, seeds %s; means with 95%% t intervals where there are several.\n\n", e.Name, e.Title, outcomes[0].Size, strings.Join(seeds, ", "))
-	fmt.Fprintf(&b, "| arm | day | %s |\n|---|---|%s\n", strings.Join(tableFigures, " | "), strings.Repeat("---|", len(tableFigures)))
+	figures := tableFigures
+	if len(e.Table) > 0 {
+		figures = e.Table
+	}
+	fmt.Fprintf(&b, "| arm | day | %s |\n|---|---|%s\n", strings.Join(figures, " | "), strings.Repeat("---|", len(figures)))
 	for _, r := range outcomes[0].Runs {
 		fmt.Fprintf(&b, "| %s | %s |", r.Arm, r.Day)
-		for _, f := range tableFigures {
+		for _, f := range figures {
 			fmt.Fprintf(&b, " %s |", interval(over(outcomes, r.Arm+"/"+r.Day+"/"+f)))
 		}
 		b.WriteByte('\n')
