--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -424,6 +424,7 @@
 // admit decides whether a request may try at all, and where. It costs no allocation.
 func (m *Module) admit(now int64, ev *rules.Event) Reason {
 	m.count(now)
+	m.look(now)
 	who := m.Tenant(ev)
 	t := &m.tenants[who]
 	home := t.cell
@@ -521,7 +522,7 @@
 	}
 	if by.into {
 		m.admitMover(&by, ev)
-	} else if !write {
+	} else if !write && len(m.paths) > 0 {
 		c.room.Lives(now, kb, fill)
 	}
 	c.open++
--- a/core/cells/moving.go
+++ b/core/cells/moving.go
@@ -198,7 +198,6 @@
 // still knows the object; if the other one has no live cache either, or is the one that went, the cell objects go to, as far as
 // it bears; else it is refused.
 func (m *Module) route(now int64, p *moving, ev *rules.Event, kb float64) (int, way) {
-	m.look(now)
 	ms, mv := m.millis(now), p.move
 	if !mv.Pending(ms) {
 		p.note(m, now, ev)
--- a/core/moves/pace.go
+++ b/core/moves/pace.go
@@ -5,6 +5,7 @@
 // What a router's pace goes by. Times are milliseconds.
 const (
 	paceEvery = 250.0  // between two looks
+	pastPace  = 2000.0 // without a look after which a router goes on from the document
 	paceSpan  = 3000.0 // over which what was seen is forgotten
 	paceFew   = 20.0   // answers of a cell that tell something
 	lateMore  = 0.03   // part of late answers past that of the other cell that is harm
@@ -98,8 +99,11 @@
 		return p.share
 	}
 	p.at = now
-	gone = min(gone, 4*paceEvery) // a router that slept must not jump
 	low, high := m.Floor(now), m.Share(now)
+	if gone > pastPace { // it had nothing to do meanwhile: it is where one that starts now is, or further if it was
+		p.share = min(max(p.share, low), high)
+		gone = paceEvery
+	}
 	switch {
 	case m.Unbounded || m.GoesBack(now):
 		p.share = approach(p.share, high, gone*m.SlewUp(), gone*max(SlewDown, m.SlewUp()))
--- a/core/moves/pace_test.go
+++ b/core/moves/pace_test.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// A router that had nothing to do for long is where one is that starts then.
+func TestPaceAfterLongQuiet(t *testing.T) {
+	m := Move{Start: 1e6, Shift: 20_000, Slow: 60_000}
+	var p Pace
+	p.Step(m.Start, &m)
+	if share := p.Step(m.Start+30_000, &m); math.Abs(share-0.5) > 0.05 {
+		t.Errorf("after 30 of 60 s: %v", share)
+	}
+	if share := p.Step(m.Start+80_000, &m); share != 1 {
+		t.Errorf("after the end: %v", share)
+	}
+}
+
 // Two versions of a document that race: a router goes from the one to the other by bounded steps, wherever it stands.
 func TestPaceNeverJumpsBetweenVersions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
