Moves in the features file and the router: taken in on SIGHUP, refused whole, told of on SIGUSR1

Need: operators give moves as a document. Change: section moves of the features file, strict and checked against the cells; on SIGHUP it must follow the one in force: no move under way may vanish, be led elsewhere or begin when its time is past; the same document once more is no fault, and a router that starts takes what it finds. The planner stands in core/moves/order, so that the router links no graph library. Measured: tests; the router's dependencies are as before but for core/moves.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -76,23 +76,23 @@
 	}
 }
 
-// feature loads the features file against the settings in force; nil where cells are off, as without a file.
-func feature(file string, c *config.Config) (*cells.Assignment, error) {
+// feature loads the features file against the settings in force; nil without a file.
+func feature(file string, c *config.Config) (*features.File, *cells.Assignment, error) {
 	if file == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
 	f, err := features.Load(file)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := f.Fits(&c.Settings); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, nil, fmt.Errorf("%s: %w", file, err)
 	}
 	a, err := f.Assignment()
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, nil, fmt.Errorf("%s: %w", file, err)
 	}
-	return a, nil
+	return f, a, nil
 }
 
 // reload brings the configuration for a SIGHUP.
@@ -100,7 +100,7 @@
 
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
 func run(c *config.Config, again reload, file string) error {
-	on, err := feature(file, c)
+	on, assigned, err := feature(file, c)
 	if err != nil {
 		return err
 	}
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	core.Confine(on)
+	core.Confine(assigned, on.Document())
 	apply := func(n router.Notice) {
 		pools.Apply(n)
 		core.Apply(n)
@@ -167,7 +167,7 @@
 				return nil
 			case <-hangUp:
 				c = reconfigure(c, again, follower.Move, log)
-				refeature(file, c, core, log)
+				on = refeature(file, on, c, core, now, log)
 			}
 		}
 	})
@@ -216,22 +216,27 @@
 	return &taken
 }
 
-// refeature takes the features file in anew after SIGHUP. A file that can't be used changes nothing.
-func refeature(file string, c *config.Config, core *router.Router, log zerolog.Logger) {
+// refeature takes the features file in anew after SIGHUP and returns the one in force. A file that can't be used changes nothing.
+func refeature(file string, old *features.File, c *config.Config, core *router.Router, now *clock.Clock, log zerolog.Logger) *features.File {
 	if file == "" {
-		return
+		return old
+	}
+	on, assigned, err := feature(file, c)
+	if err == nil {
+		err = on.Follows(now.Now(), old)
 	}
-	on, err := feature(file, c)
 	if err != nil {
 		log.Error().Err(err).Msg("new features can't be used")
-		return
+		return old
 	}
-	core.Confine(on)
+	core.Confine(assigned, on.Document())
 	version := int64(0)
-	if on != nil {
-		version = on.Version()
+	if assigned != nil {
+		version = assigned.Version()
 	}
-	log.Info().Int64("cells", version).Msg("new features")
+	_, moving := core.Moves()
+	log.Info().Int64("cells", version).Int64("moves", moving).Msg("new features")
+	return on
 }
 
 // report prints the counters on SIGUSR1.
@@ -267,5 +272,8 @@
 		}
 	}
 	line.Interface("cells", p.Cells).Interface("heavy", p.Heavy).Interface("objects", p.Objects).Msg("cells")
+	if paths, version := core.Moves(); version > 0 {
+		log.Info().Int64("version", version).Int64("moved", p.Stats.Moved).Int64("kept", p.Stats.Kept).Interface("moves", paths).Msg("moves")
+	}
 	log.Info().Interface("demand", demand).Msg("demand")
 }
--- a/core/cells/moving_test.go
+++ b/core/cells/moving_test.go
@@ -174,7 +174,16 @@
 	a.sends(200, 10*sec, any50)
 	back := goes(func(m *moves.Move) { m.BackAt = 35_000 })
 	back.Version = 2
+	mv := &back.Moves[0]
 	a.m.Move(a.now, back)
+	for range 100 { // on the way back each object is in the cell that its place in the order gives it
+		object := any50(a.n)
+		a.sends(1, 50*msec, func(int) string { return object })
+		cell, share := cellsOf(a.m)[a.ask(rules.Event{Group: 50, Object: object, SizeKb: 50})], a.m.Paths(a.now)[0].Share
+		if want := map[bool]string{true: "one", false: "two"}[mv.Place(object) < share]; cell != want {
+			t.Fatalf("at share %v object at %v goes to %s", share, mv.Place(object), cell)
+		}
+	}
 	a.sends(400, 30*sec, any50)
 	if got := a.sends(100, sec, any50); got["two"] != 100 {
 		t.Errorf("taken back: %v", got)
--- a/core/moves/document.go
+++ b/core/moves/document.go
@@ -68,8 +68,8 @@
 const (
 	MaxMoves = 1000
 	MaxHot   = 1000
-	// leastShift keeps a step of the clock, or routers a second or two apart, from moving much at once.
-	leastShift = 10_000
+	// LeastShift, in ms, keeps a step of the clock, or routers a second or two apart, from moving much at once.
+	LeastShift = 10_000
 	// hotShare is the part of the split that the hot objects take up, named one after the other.
 	hotShare = 0.1
 )
@@ -105,8 +105,8 @@
 			return fault(i, "start", "%v is no time", m.Start)
 		case !(m.Warm >= 0 && m.Warm < 1e9) || !(m.Settle >= 0 && m.Settle < 1e9):
 			return fault(i, "warm", "%v and settle %v: 0 to 1e9 ms", m.Warm, m.Settle)
-		case !(m.Shift >= leastShift && m.Shift < 1e9):
-			return fault(i, "shift", "%v: %d to 1e9 ms", m.Shift, leastShift)
+		case !(m.Shift >= LeastShift && m.Shift < 1e9):
+			return fault(i, "shift", "%v: %d to 1e9 ms", m.Shift, LeastShift)
 		case m.Slow != 0 && !(m.Slow >= m.Shift && m.Slow < 1e9):
 			return fault(i, "slow", "%v: shift (%v) to 1e9 ms, or left out", m.Slow, m.Shift)
 		case len(m.Hot) > MaxHot || m.Warm == 0 && len(m.Hot) > 0:
--- a/core/moves/document_test.go
+++ b/core/moves/document_test.go
@@ -36,13 +36,25 @@
 	}
 }
 
+// A held move goes on from where it stood, however long it was held.
+func TestResumedGoesOnWhereItStood(t *testing.T) {
+	m := move()
+	m.HeldAt = start + 40_000
+	for _, at := range []float64{start + 40_000, start + 90_000, start + 1e6} {
+		r := m.Resumed(at)
+		if math.Abs(r.Share(at)-m.Share(at)) > 1e-9 || r.Share(at+10_000) <= m.Share(at) || r.HeldAt != 0 {
+			t.Errorf("held at %v, resumed at %v", m.Share(at), r.Share(at))
+		}
+	}
+}
+
 // The share goes up and never down while a move goes on, down and never up once it is taken back, and never jumps: two routers whose
 // clocks are apart differ by no more than that part of the shift.
 func TestShareIsSteady(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := move()
 		m.Warm = rapid.Float64Range(1000, 60_000).Draw(t, "warm")
-		m.Shift = rapid.Float64Range(leastShift, 300_000).Draw(t, "shift")
+		m.Shift = rapid.Float64Range(LeastShift, 300_000).Draw(t, "shift")
 		if rapid.Bool().Draw(t, "held") {
 			m.HeldAt = start + rapid.Float64Range(0, 300_000).Draw(t, "heldAt")
 		}
--- a/core/moves/plan.go
+++ b/core/moves/order/order.go
@@ -1,4 +1,6 @@
-package moves
+// Package order decides when each of many tenants moves: as many at once as the limits of cells, link and head office bear. The router
+// does not need it.
+package order
 
 import (
 	"cmp"
@@ -10,6 +12,8 @@
 	"gonum.org/v1/gonum/graph"
 	"gonum.org/v1/gonum/graph/simple"
 	"gonum.org/v1/gonum/graph/topo"
+
+	"spantack/core/moves"
 )
 
 // Wish is a tenant that is to move in a depot. Rates are KB a second, of all the depot's routers together.
@@ -47,7 +51,7 @@
 
 // Schedule is when each tenant moves. A tenant for whom there is no room at any time is left out, with the reason.
 type Schedule struct {
-	Moves   []Move
+	Moves   []moves.Move
 	End     float64            // when the last has shifted
 	Bound   float64            // no schedule that keeps the limits ends sooner
 	Peak    map[string]float64 // greatest part of each limit in use, by its name
@@ -137,13 +141,15 @@
 	for _, l := range p.limits {
 		s.Peak[l.name] = slices.Max(l.used) / l.most
 	}
-	slices.SortStableFunc(s.Moves, func(a, b Move) int { return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Tenant, b.Tenant)) })
+	slices.SortStableFunc(s.Moves, func(a, b moves.Move) int {
+		return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.Tenant, b.Tenant))
+	})
 	return s, nil
 }
 
 func (a *Aim) check(wishes []Wish) error {
-	if !(a.Start > 0) || !(a.Shift >= leastShift) || !(a.Slow >= 1) || !(a.Warm >= 0) || !(a.Settle >= 0) || !(a.Fill >= 0) || !(a.Origin >= 0) || !(a.Deep >= 0 && a.Deep <= 1) {
-		return fmt.Errorf("%w: start above 0, shift %d ms or more, slow 1 or more, deep 0 to 1, the rest 0 or more", ErrPlan, leastShift)
+	if !(a.Start > 0) || !(a.Shift >= moves.LeastShift) || !(a.Slow >= 1) || !(a.Warm >= 0) || !(a.Settle >= 0) || !(a.Fill >= 0) || !(a.Origin >= 0) || !(a.Deep >= 0 && a.Deep <= 1) {
+		return fmt.Errorf("%w: start above 0, shift %d ms or more, slow 1 or more, deep 0 to 1, the rest 0 or more", ErrPlan, moves.LeastShift)
 	}
 	seen := map[string]bool{}
 	for _, w := range wishes {
@@ -299,10 +305,10 @@
 // book writes the moves of a trip.
 func (p *planner) book(t trip, at int, s *Schedule) {
 	for _, w := range t.wishes {
-		m := Move{Tenant: w.Tenant, Depot: p.aim.Depot, From: w.From, To: w.To, Start: p.aim.Start + float64(at)*slotMs, Shift: t.ms, Settle: p.aim.Settle, Hot: w.Hot}
+		m := moves.Move{Tenant: w.Tenant, Depot: p.aim.Depot, From: w.From, To: w.To, Start: p.aim.Start + float64(at)*slotMs, Shift: t.ms, Settle: p.aim.Settle, Hot: w.Hot}
 		if len(w.Hot) > 0 {
 			m.Warm = p.aim.Warm
-			m.Shift = max(t.ms-m.Warm, leastShift)
+			m.Shift = max(t.ms-m.Warm, moves.LeastShift)
 		}
 		m.Slow = p.aim.Slow * m.Shift
 		s.Moves = append(s.Moves, m)
@@ -380,7 +386,7 @@
 }
 
 // Circles lists cells whose moves wait for each other's room, each circle from its least cell on: A to B, B to C, C to A.
-func (d *Document) Circles() [][]string {
+func Circles(d *moves.Document) [][]string {
 	g, names := cellGraph(func(each func(from, to string)) {
 		for _, m := range d.Moves {
 			each(m.From, m.To)
--- a/core/moves/plan_test.go
+++ b/core/moves/order/order_test.go
@@ -1,4 +1,4 @@
-package moves
+package order
 
 import (
 	"errors"
@@ -7,8 +7,15 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"spantack/core/moves"
+	"spantack/internal/testseed"
 )
 
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+const start = 1_764_576_000_000.0
+
 func aim(cells map[string]CellRoom) Aim {
 	return Aim{Depot: "d", Start: start, Warm: 5000, Shift: 10_000, Slow: 3, Settle: 10_000, Cells: cells, Fill: 4000, Origin: 1500, Deep: 0.2}
 }
@@ -45,7 +52,7 @@
 			t.Fatalf("ends at %v, before the bound %v", s.End, s.Bound)
 		}
 		if len(s.Moves) > 0 {
-			if err := (&Document{Version: 1, Moves: s.Moves}).Check(start, nil); err != nil {
+			if err := (&moves.Document{Version: 1, Moves: s.Moves}).Check(start, nil); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -95,7 +102,7 @@
 			t.Errorf("not at one pace: %+v", s.Moves)
 		}
 	}
-	if got := fmt.Sprint((&Document{Moves: s.Moves}).Circles()); got != "[[a b c]]" {
+	if got := fmt.Sprint(Circles(&moves.Document{Moves: s.Moves})); got != "[[a b c]]" {
 		t.Error(got)
 	}
 	s, err = Plan(append(wishes, Wish{"4", "a", "b", 3000, 90_000, nil}), aim(cells))
--- a/core/moves/pace.go
+++ b/core/moves/pace.go
@@ -18,7 +18,7 @@
 )
 
 // SlewDown is the greatest speed, a millisecond, at which a share falls.
-const SlewDown = 1.0 / leastShift
+const SlewDown = 1.0 / LeastShift
 
 // SlewUp is the greatest speed at which the share of a move rises.
 func (m *Move) SlewUp() float64 { return speedMost / m.Shift }
--- a/core/moves/pace_test.go
+++ b/core/moves/pace_test.go
@@ -34,7 +34,7 @@
 // without passing it by more than the stated overshoot.
 func TestPaceSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := Move{Start: 1e6, Shift: rapid.Float64Range(leastShift, 60_000).Draw(t, "shift"), Slow: 400_000}
+		m := Move{Start: 1e6, Shift: rapid.Float64Range(LeastShift, 60_000).Draw(t, "shift"), Slow: 400_000}
 		bears := rapid.Float64Range(0.15, 1.2).Draw(t, "bears")
 		perS := rapid.Float64Range(30, 300).Draw(t, "perS")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -151,7 +151,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		versions := []Move{}
 		for range 3 {
-			m := Move{Start: 1e6 + rapid.Float64Range(-50_000, 50_000).Draw(t, "start"), Shift: rapid.Float64Range(leastShift, 100_000).Draw(t, "shift")}
+			m := Move{Start: 1e6 + rapid.Float64Range(-50_000, 50_000).Draw(t, "start"), Shift: rapid.Float64Range(LeastShift, 100_000).Draw(t, "shift")}
 			m.Slow = m.Shift * rapid.Float64Range(1, 3).Draw(t, "slow")
 			if rapid.Bool().Draw(t, "back") {
 				m.BackAt = m.Start + rapid.Float64Range(0, 60_000).Draw(t, "backAt")
--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -40,4 +40,23 @@
       giveMs: 250,  // within this a share is free again for its owner
     },
   },
+  // Tenants on their way from cell to cell: docs/moves.md. Times are Unix milliseconds, spans milliseconds. `spanctl cells move` and
+  // its like write a document; import it here as `moves: import 'moves.json'`.
+  moves: {
+    enabled: false,
+    version: 1,  // greater with every change of this section
+    moves: [
+      {
+        tenant: 'vending',
+        depot: '*',  // in all
+        from: 'north',
+        to: 'south',
+        start: 1764576000000,
+        warm: 0,  // the objects named in hot go first
+        shift: 30000,  // the others follow, at the soonest
+        slow: 150000,  // and at the latest: a deploy, or a cell that answers late, holds a router back up to here
+        settle: 60000,  // the old cell still takes what the new one can't bear
+      },
+    ],
+  },
 }
--- a/emulator/moving.go
+++ b/emulator/moving.go
@@ -7,6 +7,7 @@
 
 	"spantack/core/cells"
 	"spantack/core/moves"
+	"spantack/core/moves/order"
 )
 
 // gauge measures one cell of one depot over gaugeSpan: fills, and how busy its caches are.
@@ -216,7 +217,7 @@
 }
 
 // wishes are the tenants that move, and where from and to.
-func (c *Config) wishes(trip *Trip) (tenants []int, wishes []moves.Wish) {
+func (c *Config) wishes(trip *Trip) (tenants []int, wishes []order.Wish) {
 	spec := c.Cells
 	place := map[string]int{}
 	for i, cell := range spec.Cells {
@@ -226,7 +227,7 @@
 	shares := c.TenantShares()
 	add := func(t, to int) {
 		kb := shares[t] * c.RateS * meanKb() / float64(c.Depots)
-		w := moves.Wish{Tenant: spec.Tenants[t].Name, From: spec.Tenants[t].Cell, To: spec.Cells[to].Name, KbPerS: kb, FillKb: kb * moves.AskedIn}
+		w := order.Wish{Tenant: spec.Tenants[t].Name, From: spec.Tenants[t].Cell, To: spec.Cells[to].Name, KbPerS: kb, FillKb: kb * order.AskedIn}
 		drift := int(trip.StartS / c.DriftS)
 		for rank := range trip.Hot {
 			for class := video; class <= catalogue; class++ {
@@ -280,7 +281,7 @@
 	start := trip.StartS * 1000
 	switch trip.Style {
 	case "planned":
-		s, err := moves.Plan(wishes, c.aim(trip))
+		s, err := order.Plan(wishes, c.aim(trip))
 		if err != nil {
 			return err
 		}
@@ -322,9 +323,9 @@
 }
 
 // aim tells the planner what the world's cells bear on a calm day.
-func (c *Config) aim(trip *Trip) moves.Aim {
-	a := moves.Aim{Depot: moves.AllDepots, Start: trip.StartS * 1000, Warm: trip.WarmS * 1000, Shift: trip.ShiftS * 1000, Slow: max(trip.Slow, 1), Settle: trip.SettleS * 1000,
-		Cells: map[string]moves.CellRoom{}, Deep: 0.2}
+func (c *Config) aim(trip *Trip) order.Aim {
+	a := order.Aim{Depot: moves.AllDepots, Start: trip.StartS * 1000, Warm: trip.WarmS * 1000, Shift: trip.ShiftS * 1000, Slow: max(trip.Slow, 1), Settle: trip.SettleS * 1000,
+		Cells: map[string]order.CellRoom{}, Deep: 0.2}
 	sends := c.RateS * meanKb() / float64(c.Depots)
 	fills := c.fillKbS() / float64(c.Depots) * 0.8
 	live := map[string]float64{}
@@ -332,7 +333,7 @@
 		live[c.Cells.Tenants[i].Cell] += share
 	}
 	for _, cell := range c.Cells.Cells {
-		a.Cells[cell.Name] = moves.CellRoom{Bears: cell.Share * float64(c.Caches*c.Channels) * paceKbS, Lives: live[cell.Name] * sends,
+		a.Cells[cell.Name] = order.CellRoom{Bears: cell.Share * float64(c.Caches*c.Channels) * paceKbS, Lives: live[cell.Name] * sends,
 			Fill: max(budgetRoom*cell.Share*c.linkKbS()-live[cell.Name]*fills, 1)}
 	}
 	a.Fill = max(budgetRoom*c.linkKbS()-fills, 1)
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -254,7 +254,7 @@
 
 // BrokenRules counts all broken rules.
 func (r *Result) BrokenRules() (n int64) {
-	for _, rule := range order(r.Broken) {
+	for _, rule := range sortedNames(r.Broken) {
 		n += r.Broken[rule]
 	}
 	return n
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -1410,8 +1410,8 @@
 	w.addCache(f.Depot, w.now)
 }
 
-// order makes figures by name come out the same on every run.
-func order[V any](m map[string]V) []string {
+// sortedNames makes figures by name come out the same on every run.
+func sortedNames[V any](m map[string]V) []string {
 	var names []string
 	for name := range m {
 		names = append(names, name)
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-jsonnet"
 
 	"spantack/core/cells"
+	"spantack/core/moves"
 	"spantack/rules"
 )
 
@@ -25,6 +26,7 @@
 // File is one features file. A feature that is left out is off.
 type File struct {
 	Cells Cells `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
+	Moves Moves `json:"moves,omitempty" jsonschema_description:"tenants on their way from cell to cell; docs/moves.md"`
 }
 
 // Cells is the feature of that name.
@@ -33,6 +35,20 @@
 	cells.Spec
 }
 
+// Moves is the feature of that name. It needs cells.
+type Moves struct {
+	Enabled bool `json:"enabled"`
+	moves.Document
+}
+
+// Document is the moves in force; nil while the feature is off.
+func (f *File) Document() *moves.Document {
+	if f == nil || !f.Moves.Enabled {
+		return nil
+	}
+	return &f.Moves.Document
+}
+
 // Spec is what to confine tenants by; nil while the feature is off.
 func (f *File) Spec() *cells.Spec {
 	if f == nil || !f.Cells.Enabled {
@@ -75,12 +91,53 @@
 	if err := json.Unmarshal(text, f); err != nil {
 		return nil, err
 	}
-	if spec := f.Spec(); spec != nil {
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// check holds the features against themselves and each other.
+func (f *File) check() error {
+	spec, doc := f.Spec(), f.Document()
+	if spec != nil {
 		if err := spec.Check(); err != nil {
-			return nil, fmt.Errorf("cells.%w", err)
+			return fmt.Errorf("cells.%w", err)
 		}
 	}
-	return f, nil
+	if doc == nil {
+		return nil
+	}
+	if spec == nil {
+		return errors.New("moves.enabled: needs cells")
+	}
+	if err := doc.Check(math.Inf(-1), nil); err != nil { // times are looked at when a router takes it in
+		return fmt.Errorf("moves.%w", err)
+	}
+	a, err := cells.Compile(spec)
+	if err != nil {
+		return err
+	}
+	return a.Fits(doc)
+}
+
+// Follows holds a file against the one in force at a time, Unix milliseconds: no move under way may be lost or begun too late.
+func (f *File) Follows(now float64, before *File) error {
+	was, next := before.Document(), f.Document()
+	switch {
+	case was == nil && next == nil:
+		return nil
+	case next == nil:
+		next = &moves.Document{Version: was.Version + 1}
+	case was != nil && next.Version == was.Version && reflect.DeepEqual(next, was):
+		return nil // the same once more
+	case was == nil:
+		was = &moves.Document{}
+	}
+	if err := next.Check(now, was); err != nil {
+		return fmt.Errorf("moves.%w", err)
+	}
+	return nil
 }
 
 // Fits holds a file against a router's settings: the names that it uses must be known there.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"spantack/core/cells"
+	"spantack/core/moves"
 	"spantack/internal/clock"
 	"spantack/rules"
 )
@@ -142,12 +143,21 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
-// Confine puts an assignment of cells in force before it returns, or with nil none.
-func (r *Router) Confine(next *cells.Assignment) {
+// Confine puts an assignment of cells and a document of moves that fits it in force before it returns, or with nil none. No request sees
+// the one without the other.
+func (r *Router) Confine(next *cells.Assignment, doc *moves.Document) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.last = max(r.last, clock.Micros(r.clock.Now()))
 	r.rules.Confine(r.last, next)
+	r.rules.Move(r.last, doc)
+}
+
+// Moves tells how far the moves of this depot are, and the version of their document; 0 while there is none.
+func (r *Router) Moves() ([]cells.MoveNow, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Paths(clock.Micros(r.clock.Now())), r.rules.Moves()
 }
 
 // mostDemand is how many tenants' demand is told of.
