--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -16,13 +16,14 @@
 
 	"spantack/core/cells"
 	"spantack/core/cells/plan"
+	"spantack/core/moves"
 	"spantack/internal/features"
 	"spantack/internal/features/schema"
 )
 
 type cli struct {
 	Check checkCmd `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
-	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan."`
+	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan; and tenants that move between them: moves, move, empty, hold, resume, back, settle."`
 }
 
 type checkCmd struct {
@@ -48,6 +49,9 @@
 	} else {
 		fmt.Fprintln(out, "cells: off")
 	}
+	if doc := f.Document(); doc != nil {
+		fmt.Fprintf(out, "moves: on, version %d, %d moves\n", doc.Version, len(doc.Moves))
+	}
 	return nil
 }
 
@@ -56,6 +60,13 @@
 	Explain explainCmd `cmd:"" help:"Whose a request is, and which caches it may go to."`
 	Diff    diffCmd    `cmd:"" help:"What changes from one file to another."`
 	Plan    planCmd    `cmd:"" help:"Proposes cells for tenants from measured demand."`
+	Moves   movesCmd   `cmd:"" help:"The moves of a file and how far they are."`
+	Move    moveCmd    `cmd:"" help:"Lets a tenant move to another cell."`
+	Empty   emptyCmd   `cmd:"" help:"Plans moves of all tenants of a cell to others."`
+	Hold    holdCmd    `cmd:"" help:"Holds moves where they are."`
+	Resume  resumeCmd  `cmd:"" help:"Lets held moves go on."`
+	Back    backCmd    `cmd:"" help:"Takes moves back."`
+	Settle  settleCmd  `cmd:"" help:"Leaves out moves that are over, once the assignment has their tenants where they went."`
 }
 
 // load takes a file in which cells are on.
@@ -111,16 +122,21 @@
 	Family int      `help:"Group of the object, 0 to 255."`
 	Class  string   `help:"Class of the request."`
 	Object string   `help:"The object, in hex."`
+	Now    float64  `help:"Unix milliseconds; the clock's if left out." hidden:""`
 	Tenant string   `help:"The tenant as the front names it."`
 	Depot  string   `help:"The depot."`
 	Caches []string `help:"Ids of the depot's caches."`
 }
 
 func (c *explainCmd) Run(out io.Writer) error {
-	spec, err := load(c.File)
+	f, err := features.Load(c.File)
 	if err != nil {
 		return err
 	}
+	spec := f.Spec()
+	if spec == nil {
+		return fmt.Errorf("%s: cells are off", c.File)
+	}
 	a, err := spec.Explain(c.Depot, c.Caches, c.Family, c.Class, c.Object, c.Tenant)
 	if err != nil {
 		return err
@@ -133,6 +149,19 @@
 		fmt.Fprintf(out, "; caches %s", strings.Join(a.Caches, ","))
 	}
 	fmt.Fprintln(out)
+	if doc := f.Document(); doc != nil {
+		on := onDoc{Now: c.Now}
+		for i := range doc.Moves {
+			m := &doc.Moves[i]
+			if m.Tenant != a.Tenant || m.Depot != c.Depot && m.Depot != moves.AllDepots {
+				continue
+			}
+			tell(out, m, on.now())
+			if place := m.Place(c.Object); c.Object != "" {
+				fmt.Fprintf(out, "object %s is at %.1f%% of the order: it goes to %s once the share is past that, to %s before\n", c.Object, 100*place, m.To, m.From)
+			}
+		}
+	}
 	return nil
 }
 
@@ -176,20 +205,26 @@
 		}
 		return list, nil
 	}
-	found := false
-	for line := range bytes.Lines(text) {
+	var entry struct {
+		Demand []cells.Demand `json:"demand"`
+	}
+	if !lastLine(text, "demand", &entry) {
+		return nil, fmt.Errorf("%s: neither a list nor a log with a line 'demand'", file)
+	}
+	return entry.Demand, nil
+}
+
+// lastLine reads the last line of a router's log that has a message; lines that are none of ours are passed over.
+func lastLine(log []byte, message string, into any) (found bool) {
+	for line := range bytes.Lines(log) {
 		var entry struct {
-			Message string         `json:"message"`
-			Demand  []cells.Demand `json:"demand"`
+			Message string `json:"message"`
 		}
-		if json.Unmarshal(line, &entry) == nil && entry.Message == "demand" { // other lines are none of ours
-			list, found = entry.Demand, true
+		if json.Unmarshal(line, &entry) == nil && entry.Message == message && json.Unmarshal(line, into) == nil {
+			found = true
 		}
 	}
-	if !found {
-		return nil, fmt.Errorf("%s: neither a list nor a log with a line 'demand'", file)
-	}
-	return list, nil
+	return found
 }
 
 // gather sums the demand of all files by tenant.
--- a/lab/local/local.go
+++ b/lab/local/local.go
@@ -97,12 +97,12 @@
 		return d, err
 	}
 	for _, kind := range []byte{kindOrigin, kindArea} {
-		if _, err = d.add(kind, 0); err != nil {
+		if _, err = d.add(kind, "", 0); err != nil {
 			return d, err
 		}
 	}
 	for range opt.Caches {
-		s, err := d.add(kindCache, 0)
+		s, err := d.add(kindCache, "", 0)
 		if err != nil {
 			return d, err
 		}
@@ -130,13 +130,13 @@
 }
 
 // add starts a server and puts it into the list that routers begin with.
-func (d *Deployment) add(kind byte, started int64) (*tier.Server, error) {
+func (d *Deployment) add(kind byte, addr string, started int64) (*tier.Server, error) {
 	d.next++
 	delay := d.opt.Delay
 	if kind != kindCache {
 		delay *= 3
 	}
-	opt := tier.Options{ID: d.next * 2654435761, Origin: kind == kindOrigin, Delay: delay, Source: d.server, Ledger: d.Ledger}
+	opt := tier.Options{ID: d.next * 2654435761, Addr: addr, Origin: kind == kindOrigin, Delay: delay, Source: d.server, Ledger: d.Ledger}
 	if kind == kindCache {
 		opt.Script = d.opt.Script
 	}
@@ -155,6 +155,40 @@
 	return s, nil
 }
 
+// Replace takes a depot cache out of service as a deploy does: it drains for a while, goes, and a new machine, with nothing in its store,
+// is listed in its place; at the same address if that is asked for.
+func (d *Deployment) Replace(which int, drain time.Duration, sameAddr bool) error {
+	old := d.Caches[which]
+	at := -1
+	for i, s := range d.known {
+		if s.Addr == old.Addr() && fmt.Sprintf("s-%08x", s.ID) == old.Name() {
+			at = i
+		}
+	}
+	if at < 0 {
+		return fmt.Errorf("cache %d is not listed", which)
+	}
+	row := d.known[at]
+	row.State = 1
+	d.Board.List(false, row)
+	time.Sleep(drain)
+	old.Close()
+	row.State = 2
+	d.Board.List(false, row)
+	d.known = append(d.known[:at], d.known[at+1:]...)
+	addr := ""
+	if sameAddr {
+		addr = row.Addr.String()
+	}
+	fresh, err := d.add(kindCache, addr, time.Now().UnixMilli())
+	if err != nil {
+		return err
+	}
+	d.Caches[which] = fresh
+	d.Board.List(false, d.known[len(d.known)-1])
+	return nil
+}
+
 func (d *Deployment) server(id string) *tier.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lab/local/local_test.go
+++ b/lab/local/local_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"spantack/core/cells"
+	"spantack/core/moves"
 	"spantack/internal/features"
 	"spantack/standin/tier"
 )
@@ -85,10 +87,18 @@
 	return cell
 }
 
-// waitLog returns once a router's log holds some words; the test's own limit ends a wait for nothing.
+// saysWithin ends a wait for nothing.
+const saysWithin = time.Minute
+
+// waitLog returns once a router's log holds some words.
 func waitLog(t *testing.T, r *Router, words string) {
 	t.Helper()
-	for t.Context().Err() == nil {
+	ctx, cancel := context.WithTimeout(t.Context(), saysWithin)
+	defer cancel()
+	for {
+		if ctx.Err() != nil {
+			t.Fatalf("the log of %s does not say %q", r.Addr, words)
+		}
 		log, err := os.ReadFile(r.Log)
 		if err != nil {
 			t.Fatal(err)
@@ -219,3 +229,107 @@
 		t.Errorf("after: %v", got)
 	}
 }
+
+// Three routers, a tenant moved in service by SIGHUP while half of the caches are replaced, one at the address of the machine that has gone:
+// 20,000 requests, each with one right answer, and none at a cache that is in neither of its tenant's cells.
+func TestTenantMovesInService(t *testing.T) {
+	const requests = 20_000
+	spec := cells.Spec{Version: 1, Scheme: cells.Fixed,
+		Cells:   []cells.Cell{{Name: "one", Share: 0.34}, {Name: "two", Share: 0.33}, {Name: "three", Share: 0.33}},
+		Tenants: []cells.Tenant{{Name: "mover", Cell: "one"}, {Name: "rest", Cell: "three"}},
+		Keys:    []cells.Key{{Families: []int{0, 0}, Tenant: "mover"}, {Tenant: "rest"}},
+	}
+	file := func(doc *moves.Document) string {
+		f := features.File{Cells: features.Cells{Enabled: true, Spec: spec}}
+		if doc != nil {
+			f.Moves = features.Moves{Enabled: true, Document: *doc}
+		} else {
+			f.Moves.Moves = []moves.Move{}
+		}
+		text, err := json.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	d := start(t, Options{Routers: 3, Caches: 9, Delay: time.Millisecond, Features: file(nil)})
+	tell := func(doc *moves.Document, says string) {
+		if err := d.WriteFeatures(file(doc)); err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range d.Routers {
+			if err := r.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, r := range d.Routers {
+			waitLog(t, r, says)
+		}
+	}
+	lists := map[string][]string{} // cells of every cache, under each list that there was
+	note := func() {
+		var names []string
+		for _, c := range d.Caches {
+			names = append(names, c.Name())
+		}
+		for i, in := range spec.Divide(names) {
+			for _, name := range in {
+				lists[name] = append(lists[name], spec.Cells[i].Name)
+			}
+		}
+	}
+	note()
+	ran := make(chan *Report, 1)
+	go func() {
+		rep, err := d.Run(t.Context(), Load{Seed: 9, Requests: requests, Every: 1200 * time.Microsecond, Conns: 2, Families: 3, Objects: 300})
+		if err != nil {
+			t.Error(err)
+		}
+		ran <- rep
+	}()
+	now := float64(time.Now().UnixMilli())
+	move := moves.Move{Tenant: "mover", Depot: moves.AllDepots, From: "one", To: "two", Start: now + 1000, Shift: moves.LeastShift, Slow: 15_000, Settle: 2000}
+	tell(&moves.Document{Version: 1, Moves: []moves.Move{move}}, `"moves":1`)
+	for i := range 4 {
+		if err := d.Replace(2*i, 700*time.Millisecond, i%2 == 0); err != nil {
+			t.Fatal(err)
+		}
+		note()
+	}
+	lost := move
+	lost.To = "three"
+	tell(&moves.Document{Version: 2, Moves: []moves.Move{lost}}, "new features can't be used") // a move under way can't be led elsewhere
+	rep := <-ran
+	all := rep.All()
+	if n := all.Served + all.Refused + all.Failed; n != requests || all.Wrong+all.Lost > 0 {
+		t.Errorf("answers: %+v, want %d in all, none wrong or lost", all, requests)
+	}
+	if all.Served < requests*99/100 {
+		t.Errorf("%d of %d served", all.Served, requests)
+	}
+	if o := d.Ledger.Overlaps(); len(o) > 0 {
+		t.Errorf("two attempts out at once: %v", o)
+	}
+	seen := map[string]int{}
+	for _, g := range d.Ledger.Gets() {
+		if !strings.HasPrefix(g.Object, "00") || lists[g.Server] == nil {
+			continue
+		}
+		in := lists[g.Server]
+		if !slices.Contains(in, "one") && !slices.Contains(in, "two") {
+			t.Fatalf("object %s reached %s, which was in %v", g.Object, g.Server, in)
+		}
+		for _, cell := range in {
+			seen[cell]++
+		}
+	}
+	if seen["one"] == 0 || seen["two"] == 0 {
+		t.Errorf("attempts of the mover by cell: %v", seen)
+	}
+	for _, r := range d.Routers {
+		if err := r.Signal(syscall.SIGUSR1); err != nil {
+			t.Fatal(err)
+		}
+		waitLog(t, r, `"message":"moves"`)
+	}
+}
--- a/standin/tier/tier.go
+++ b/standin/tier/tier.go
@@ -85,6 +85,7 @@
 // Options describe a server.
 type Options struct {
 	ID     uint32 // in the list of servers
+	Addr   string // where it listens; empty: any free port of loopback
 	Origin bool   // holds everything
 	Delay  time.Duration
 	Source func(id string) *Server // finds the servers that fills come from
@@ -109,7 +110,10 @@
 
 // Listen starts a server on loopback.
 func Listen(opt Options) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if opt.Addr == "" {
+		opt.Addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", opt.Addr)
 	if err != nil {
 		return nil, err
 	}
