Stages in the gate: a release is refused in cells that have not got it, and judged by cell

Need: rings are of use only where requests are let in. Measured: gate tests; a release of a tenth of a cell's requests, half of them late, is stopped within the test's minute, none is let in elsewhere; without a stage the gate does nothing more than a look at a nil pointer.

--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"spantack/core/moves"
+	"spantack/core/stages"
 	"spantack/rules"
 )
 
@@ -71,11 +72,12 @@
 	Origin          // of the head office
 	Writes          // its share of uncacheable requests
 	Open            // its share of requests open at once
+	Staged          // it asks for a release that its cell has not got, or that was taken back
 	Moving          // its tenant moves, the old cell has no live cache, and the new one can't bear more now
 	reasons
 )
 
-var reasonNames = [reasons]string{"none", "no live cache", "heavy tenant", "requests", "fills", "area caches", "head office", "writes", "open requests", "moving"}
+var reasonNames = [reasons]string{"none", "no live cache", "heavy tenant", "requests", "fills", "area caches", "head office", "writes", "open requests", "release not here", "moving"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -166,6 +168,8 @@
 	above    map[string]rules.Row
 	behind   []moves.Server // area caches listed
 	lookedAt int64          // when rooms were last measured
+	stage    *stages.Progress
+	says     []rules.Action // for the log
 
 	requests, fills, parents, origin, puts *tree
 	most                                   int // requests open at once
@@ -197,7 +201,7 @@
 		}
 		m.rules.Step(now, []rules.Event{{Kind: rules.Confine}})
 		m.assigned, m.spec, m.cells, m.tenants = nil, nil, nil, nil
-		m.doc, m.paths = nil, nil
+		m.doc, m.paths, m.stage = nil, nil, nil
 		clear(m.open)
 		return
 	}
@@ -335,6 +339,9 @@
 			acts = append(acts, next...)
 		}
 	}
+	if len(m.says) > 0 {
+		acts, m.says = append(acts, m.says...), nil
+	}
 	return acts
 }
 
@@ -425,6 +432,7 @@
 func (m *Module) admit(now int64, ev *rules.Event) Reason {
 	m.count(now)
 	m.look(now)
+	m.turn(now)
 	who := m.Tenant(ev)
 	t := &m.tenants[who]
 	home := t.cell
@@ -447,6 +455,9 @@
 		m.Stats.Spilled++
 	}
 	c := &m.cells[home]
+	if m.stage != nil && m.stage.Stage().Holds(int(ev.Group), ev.Object) && !m.stage.Open(c.name) {
+		return Staged
+	}
 	c.asked.add(now, 1)
 	lately := 0
 	if m.seen.addHash(now, partHash(ev.Object, ev.Part), 1) >= 1+seenAtLeast {
@@ -610,12 +621,12 @@
 		case rules.Refuse:
 			if o, known := m.open[a.Call]; known {
 				m.cells[o.cell].crowded(now)
-				m.unserved(now, &o)
+				m.unserved(now, &o, false)
 				m.over(a.Call)
 			}
 		case rules.Fail:
 			if o, known := m.open[a.Call]; known {
-				m.unserved(now, &o)
+				m.unserved(now, &o, true)
 			}
 			m.over(a.Call)
 		}
--- a/core/cells/moving.go
+++ b/core/cells/moving.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"spantack/core/moves"
+	"spantack/core/stages"
 	"spantack/rules"
 )
 
@@ -286,6 +287,7 @@
 
 // saw tells a move's pace how an attempt of its tenant ended.
 func (m *Module) saw(now int64, o *open, ev *rules.Event) {
+	m.judged(now, o, ev)
 	if ev.Code != rules.Done || len(m.paths) == 0 {
 		return // whether it was served in time shows at its end
 	}
@@ -307,8 +309,16 @@
 	return float64(c.Promise) + c.AimStretch*o.kb/m.set.Extra.PaceKbPerS*1e6
 }
 
-// unserved tells a move's pace of a request that rules refused or failed.
-func (m *Module) unserved(now int64, o *open) {
+// unserved tells a move's pace, and the stage that runs, of a request that rules refused or failed.
+func (m *Module) unserved(now int64, o *open, failed bool) {
+	if m.stage != nil {
+		bad := 0.0
+		if failed {
+			bad = 1
+		}
+		m.stage.Count(m.cells[o.cell].name, stages.Failed, 1, bad)
+		m.stage.Count(m.cells[o.cell].name, stages.Late, 1, 1)
+	}
 	if o.way.move != nil {
 		o.way.move.pace.Saw(m.millis(now), o.way.into, true)
 	}
--- /dev/null
+++ b/core/cells/staging_test.go
@@ -0,0 +1,120 @@
+package cells
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"spantack/core/stages"
+	"spantack/rules"
+)
+
+func prices() *stages.Stage {
+	return &stages.Stage{Version: 1, Name: "prices", Prefix: "bb", Since: 10_000, Rings: []stages.Ring{{Cells: []string{"one"}, Open: 60_000, For: 300_000}}}
+}
+
+// releaseDay sends requests of both cells for so many seconds, a tenth of them for the release; in cell one, a part of those is late. It
+// returns how many of the release were let in by cell, before the ring opened and after, and what the log said.
+func releaseDay(t *testing.T, m *Module, late float64, seconds int64) (in map[string]int, log string) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(3, 3))
+	in = map[string]int{}
+	n := 0
+	for now := 10 * sec; now < (10+seconds)*sec; now += 4 * msec {
+		n++
+		ev := rules.Event{Kind: rules.Request, Call: fmt.Sprint("r", n), Class: "page", ExpiresIn: 3 * sec, SizeKb: 5, Object: fmt.Sprintf("aa%014x", n%100)}
+		cell := "two"
+		if n%2 == 0 {
+			ev.Group, cell = 3, "one"
+		} else {
+			ev.Group = 50
+		}
+		release := n%20 < 2
+		if release {
+			ev.Object = fmt.Sprintf("bb%014x", n%100)
+		}
+		at := now
+		for _, act := range m.Step(now, []rules.Event{ev}) {
+			switch act.Kind {
+			case rules.Log:
+				log += act.Text + "\n"
+			case rules.Get:
+				if release {
+					in[fmt.Sprintf("%s after %v", cell, now >= 60*sec)]++
+				}
+				if rng.Float64() < 0.01 || release && rng.Float64() < late {
+					at += sec
+				}
+				m.Step(at, []rules.Event{{Kind: rules.Outcome, Call: act.Call, Node: act.Node, Code: rules.Done, Note: 1, Rtt: at - now, Final: true}})
+			case rules.Refuse:
+				if !release {
+					t.Fatalf("a request that is none of the release's is refused: %v", m.Stats.Refused)
+				}
+			}
+		}
+	}
+	return in, log
+}
+
+// Requests for a release are refused at once in cells that have not got it, and let in where they have; nothing else is touched.
+func TestReleaseGoesByRing(t *testing.T) {
+	m := module(t, two(), names(8)...)
+	if err := m.Stage(10*sec, prices()); err != nil {
+		t.Fatal(err)
+	}
+	in, log := releaseDay(t, m, 0, 110)
+	if in["one after false"]+in["two after false"]+in["two after true"] > 0 || in["one after true"] < 500 {
+		t.Errorf("let in: %v", in)
+	}
+	if m.Stats.Refused[Staged] == 0 || !strings.Contains(log, "release prices, ring 0 ([one]): judging\n") || strings.Contains(log, "stopped") {
+		t.Errorf("refused %v, log %q", m.Stats.Refused, log)
+	}
+	stop := prices()
+	stop.Version, stop.StopAt = 2, 121_000
+	if err := m.Stage(121*sec, stop); err != nil {
+		t.Fatal(err)
+	}
+	a := &asker{t: t, m: m, now: 122 * sec}
+	a.ask(rules.Event{Group: 3, Object: "aa00"})
+	if got := a.ask(rules.Event{Group: 3, Object: "bb00"}); got != "" || m.StageNow().Rings[0].State != "stopped" {
+		t.Errorf("after the document stopped it: %q, %+v", got, m.StageNow())
+	}
+	if err := m.Stage(123*sec, nil); err != nil || m.StageNow() != nil {
+		t.Error("ended, and still there")
+	}
+	if got := a.ask(rules.Event{Group: 50, Object: "bb00"}); got == "" {
+		t.Error("refused with no stage in force")
+	}
+}
+
+// A release whose answers come late is stopped by what this router sees, with the measure in the log.
+func TestBadReleaseIsStoppedHere(t *testing.T) {
+	m := module(t, two(), names(8)...)
+	if err := m.Stage(10*sec, prices()); err != nil {
+		t.Fatal(err)
+	}
+	_, log := releaseDay(t, m, 0.5, 110)
+	if !strings.Contains(log, "stopped, by late answers") || m.StageNow().Rings[0].State != "stopped" || m.StageNow().Rings[0].By != "late answers" {
+		t.Errorf("log %q, %+v", log, m.StageNow())
+	}
+}
+
+func TestFitsStageNamesTheField(t *testing.T) {
+	a := compile(t, two())
+	for want, spoil := range map[string]func(*stages.Stage){
+		"":                                 func(*stages.Stage) {},
+		"stage.name: ":                     func(s *stages.Stage) { s.Name = "" },
+		"stage.rings[0].cells:":            func(s *stages.Stage) { s.Rings[0].Cells = []string{"x"} },
+		"stage.rings[0].cells: every cell": func(s *stages.Stage) { s.Rings[0].Cells = []string{"one", "two"} },
+	} {
+		s := prices()
+		spoil(s)
+		if err := a.FitsStage(s); (err == nil) != (want == "") || err != nil && !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+	if err := a.FitsStage(nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/core/stages/stage.go
+++ b/core/stages/stage.go
@@ -8,18 +8,16 @@
 	"strings"
 )
 
-// Stage is one release on its way through the cells. Times are Unix milliseconds, spans milliseconds.
+// Stage is one release on its way through the cells: objects that are new with it, refused to cells that have not got it. Times are Unix
+// milliseconds, spans milliseconds.
 type Stage struct {
 	Version int64  `json:"version" jsonschema:"minimum=0" jsonschema_description:"number of this document; a later one is greater"`
 	Name    string `json:"name"`
 	// What belongs to the release: objects that begin so, or of these families; both where both are given.
-	Prefix   string `json:"prefix,omitempty" jsonschema_description:"how its objects begin, in hex"`
-	Families []int  `json:"families,omitempty" jsonschema_description:"first and last group of its objects"`
-	// New objects are refused to cells whose ring is not open. Renewed ones have their old copies kept there, as long as copies may be
-	// kept at all.
-	Renews bool    `json:"renews,omitempty" jsonschema_description:"the objects are old, and renewed at since; else they are new"`
-	Since  float64 `json:"since" jsonschema_description:"Unix milliseconds; copies made from then on are of this version"`
-	Rings  []Ring  `json:"rings"`
+	Prefix   string  `json:"prefix,omitempty" jsonschema_description:"how its objects begin, in hex"`
+	Families []int   `json:"families,omitempty" jsonschema_description:"first and last group of its objects"`
+	Since    float64 `json:"since" jsonschema_description:"Unix milliseconds; no ring opens before"`
+	Rings    []Ring  `json:"rings"`
 	// Unsure says what becomes of a ring that has had its time without a verdict.
 	Unsure string  `json:"unsure,omitempty" jsonschema:"enum=wait,enum=go" jsonschema_description:"a ring that can't be judged in its time: wait (if left out) or go"`
 	StopAt float64 `json:"stopAt,omitempty" jsonschema_description:"from then on all rings are taken back"`
@@ -133,6 +131,7 @@
 	opened float64
 	judge  *Judge
 	why    Measure
+	harmed bool
 }
 
 // Progress is how far one router is with a stage. Every router judges by what it sees itself; harm that one sees stops the release there at
@@ -168,8 +167,20 @@
 	return p, nil
 }
 
-// Count books events of a cell: requests for the release's objects, or where it is new for whatever the cell's tenants ask, of which so many
-// were bad.
+// Continue goes on with another version of the same stage, and reports whether it is the same: of that name, with the same rings.
+func (p *Progress) Continue(next *Stage) bool {
+	if next.Name != p.stage.Name || !slices.EqualFunc(next.Rings, p.stage.Rings, func(a, b Ring) bool { return slices.Equal(a.Cells, b.Cells) }) {
+		return false
+	}
+	p.stage = next
+	return true
+}
+
+// Stage is the document in force.
+func (p *Progress) Stage() *Stage { return p.stage }
+
+// Count books events of a cell, of whatever its tenants ask, of which so many were bad. A release that harms what else its cell serves is
+// found so as well.
 func (p *Progress) Count(cell string, m Measure, n, bad float64) {
 	t := p.look[cell]
 	if t == nil {
@@ -191,6 +202,9 @@
 	return p.rings[ring].state, p.rings[ring].why
 }
 
+// Harmed reports that harm was seen in a ring, here.
+func (p *Progress) Harmed(ring int) bool { return p.rings[ring].harmed }
+
 // Evidence is the log of the bet on each measure of a ring.
 func (p *Progress) Evidence(ring int) (all []float64) {
 	for m := range measures {
@@ -230,7 +244,7 @@
 			v, why := r.judge.Verdict()
 			switch {
 			case v == Harm:
-				r.why = why
+				r.why, r.harmed = why, true
 				for k := range p.rings { // nothing that is harmful somewhere stays anywhere, or goes on
 					set(k, Stopped)
 				}
