Releases in the features file, the router's log and spanctl stage start, status, stop

Need: operators begin a release, see what routers make of it and stop it. Change: section stage, checked whole and against the cells; a release goes on with later versions only; SIGUSR1 prints a line stage; spanctl adds the routers' evidence up, since bets on different requests may be multiplied, and says how long harm takes to be found.

--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -23,9 +23,16 @@
 
 type cli struct {
 	Check checkCmd `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
+	Stage stageCmd `cmd:"" help:"Releases let into cells ring by ring: start, status, stop."`
 	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan; and tenants that move between them: moves, move, empty, hold, resume, back, settle."`
 }
 
+type stageCmd struct {
+	Start  startCmd  `cmd:"" help:"Begins a release: opens rings one after the other, each judged before the next."`
+	Status statusCmd `cmd:"" help:"What routers see of a release, from their logs, and what that comes to together."`
+	Stop   stopCmd   `cmd:"" help:"Takes a release back in all cells."`
+}
+
 type checkCmd struct {
 	File   string `arg:"" optional:"" help:"The features file."`
 	Schema bool   `help:"Prints the JSON Schema of the file instead."`
@@ -52,6 +59,9 @@
 	if doc := f.Document(); doc != nil {
 		fmt.Fprintf(out, "moves: on, version %d, %d moves\n", doc.Version, len(doc.Moves))
 	}
+	if s := f.Release(); s != nil {
+		fmt.Fprintf(out, "stage: on, %s version %d, %d rings\n", s.Name, s.Version, len(s.Rings))
+	}
 	return nil
 }
 
--- a/cmd/spanctl/moves.go
+++ b/cmd/spanctl/moves.go
@@ -27,7 +27,7 @@
 
 // onDoc is what all commands on moves share.
 type onDoc struct {
-	File   string  `arg:"" help:"The features file; its section moves is import 'moves.json'."`
+	File   string  `arg:"" help:"The features file; its sections moves and stage are import 'moves.json' and import 'stage.json'."`
 	DryRun bool    `help:"Says what would change and writes nothing."`
 	Now    float64 `help:"The time to reckon from, Unix milliseconds; the clock's if left out." hidden:""`
 }
@@ -78,30 +78,38 @@
 		fmt.Fprintf(out, "dry run: version %d not written\n", doc.Version)
 		return nil
 	}
-	text, err := json.MarshalIndent(next.Moves, "", "  ")
+	return c.write(out, docFile, "moves", doc.Version, next.Moves, func(f *features.File) bool {
+		return f.Document() != nil && f.Document().Version == doc.Version
+	})
+}
+
+// write replaces the file that holds a section of the features file, and puts the old one back if the features file does not take its
+// section from there.
+func (c *onDoc) write(out io.Writer, name, section string, version int64, doc any, taken func(*features.File) bool) error {
+	text, err := json.MarshalIndent(doc, "", "  ")
 	if err != nil {
-		return fmt.Errorf("%s: %w", docFile, err)
+		return fmt.Errorf("%s: %w", name, err)
 	}
-	path := filepath.Join(filepath.Dir(c.File), docFile)
+	path := filepath.Join(filepath.Dir(c.File), name)
 	before, readErr := os.ReadFile(path)
 	if err := replace(path, append(text, '\n')); err != nil {
 		return err
 	}
-	if after, err := features.Load(c.File); err != nil || after.Document() == nil || after.Document().Version != doc.Version {
+	if after, err := features.Load(c.File); err != nil || !taken(after) {
 		if readErr == nil { // what was there before comes back
 			err = errors.Join(err, replace(path, before))
 		} else {
 			err = errors.Join(err, os.Remove(path))
 		}
-		return errors.Join(fmt.Errorf("%s does not take its moves from %s: its section moves must be import '%s'", c.File, path, docFile), err)
+		return errors.Join(fmt.Errorf("%s does not take its section %s from %s: it must be import '%s'", c.File, section, path, name), err)
 	}
-	fmt.Fprintf(out, "%s: version %d written; send SIGHUP to the routers\n", path, doc.Version)
+	fmt.Fprintf(out, "%s: version %d written; send SIGHUP to the routers\n", path, version)
 	return nil
 }
 
 // replace writes a file whole or not at all.
 func replace(path string, text []byte) error {
-	t, err := os.CreateTemp(filepath.Dir(path), docFile+".*")
+	t, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
 	if err != nil {
 		return err
 	}
--- a/cmd/spanctl/moves_test.go
+++ b/cmd/spanctl/moves_test.go
@@ -38,7 +38,7 @@
 		{"cells move F u --to c --now 1000000", "", `moves.moves[0].to: "c" is no cell`},
 		{"cells move F x --to b --now 1000000", "", `"x" is no tenant`},
 		{"cells move F u --to b --shift 2s --now 1000000", "", "--shift 10s or more"},
-		{"cells move " + plain + " u --to b --now 1000000", "", "its section moves must be import 'moves.json'"},
+		{"cells move " + plain + " u --to b --now 1000000", "", "does not take its section moves from"},
 		{"cells hold F u --now 1000000", "", "u does not move"},
 		{"cells move F u --to b --now 1000000 --in 10s --shift 20s --settle 20s --demand " + demand, "cell b: +50 KB/s in the end; fills of 50 KB/s", ""},
 		{"cells moves F --now 1020000 --status " + log, "shifting, 10 to 50% over", ""},
--- /dev/null
+++ b/cmd/spanctl/stage.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"spantack/core/cells"
+	"spantack/core/stages"
+	"spantack/internal/features"
+)
+
+// stageFile is the file that the commands on releases write.
+const stageFile = "stage.json"
+
+// putStage checks a changed release and writes it.
+func (c *onDoc) putStage(out io.Writer, f *features.File, s stages.Stage) error {
+	a, err := cells.Compile(f.Spec())
+	if err != nil {
+		return err
+	}
+	if err := a.FitsStage(&s); err != nil {
+		return err
+	}
+	next := *f
+	next.Stage = features.Stage{Enabled: true, Stage: s}
+	if err := next.Follows(c.now(), f); err != nil {
+		return err
+	}
+	if c.DryRun {
+		fmt.Fprintf(out, "dry run: version %d not written\n", s.Version)
+		return nil
+	}
+	return c.write(out, stageFile, "stage", s.Version, next.Stage, func(f *features.File) bool {
+		return f.Release() != nil && f.Release().Version == s.Version
+	})
+}
+
+type startCmd struct {
+	onDoc
+	Name     string        `required:"" help:"What the release is called."`
+	Prefix   string        `help:"How its objects begin, in hex."`
+	Families []int         `help:"First and last group of its objects."`
+	Ring     []string      `required:"" sep:"none" help:"The cells of one ring, separated by commas; once for each ring, in their order."`
+	In       time.Duration `default:"60s" help:"Until the first ring opens: routers learn meanwhile how its cells differ from others."`
+	For      time.Duration `default:"10m" help:"Time in which a ring must be judged."`
+	Go       bool          `help:"Goes on where a ring can't be judged in its time; else it waits."`
+	Rate     float64       `help:"Requests a second that a cell gets at one router, and" placeholder:"N"`
+	Bad      float64       `help:"part of them that is bad on a usual day: with both, says how long harm takes to be found." placeholder:"P"`
+}
+
+func (c *startCmd) Run(out io.Writer) error {
+	f, _, err := c.document()
+	if err != nil {
+		return err
+	}
+	now := c.now()
+	s := stages.Stage{Version: 1, Name: c.Name, Prefix: c.Prefix, Since: now}
+	if len(c.Families) > 0 {
+		s.Families = c.Families
+	}
+	if c.Go {
+		s.Unsure = "go"
+	}
+	if old := f.Release(); old != nil {
+		if old.Name == c.Name {
+			return fmt.Errorf("release %s is there already: stop it, or give the new one a name of its own", c.Name)
+		}
+		s.Version = old.Version + 1
+	}
+	for i, r := range c.Ring {
+		s.Rings = append(s.Rings, stages.Ring{Cells: strings.Split(r, ","), Open: now + ms(c.In) + float64(i)*ms(c.For), For: ms(c.For)})
+		fmt.Fprintf(out, "ring %d: %s, at the soonest %s\n", i, r, clockTime(s.Rings[i].Open))
+	}
+	if c.Rate > 0 && c.Bad > 0 && len(s.Rings) > 0 {
+		t, n, all := s.Terms(), float64(len(s.Rings[0].Cells)), float64(len(f.Spec().Cells))
+		for _, harm := range []float64{1.5, 2, 3, 5} {
+			events := t.Finds(harm, n/all, 1)
+			perS := c.Rate * c.Bad * (n*harm + all - n)
+			if secs := events / perS; !math.IsInf(secs, 0) {
+				fmt.Fprintf(out, "harm of %.1f times the odds: found by one router after some %s on average, bursts not counted\n", harm, span(1000*secs))
+			}
+		}
+	}
+	return c.putStage(out, f, s)
+}
+
+type stopCmd struct{ onDoc }
+
+func (c *stopCmd) Run(out io.Writer) error {
+	f, _, err := c.document()
+	if err != nil {
+		return err
+	}
+	old := f.Release()
+	if old == nil {
+		return errors.New("there is no release")
+	}
+	if old.StopAt > 0 {
+		return fmt.Errorf("release %s was stopped already", old.Name)
+	}
+	s := *old
+	s.Version++
+	s.StopAt = c.now()
+	fmt.Fprintf(out, "release %s: taken back in all cells; refused there as soon as a router has this\n", s.Name)
+	return c.putStage(out, f, s)
+}
+
+type statusCmd struct {
+	onDoc
+	Logs []string `arg:"" help:"Logs of routers with lines 'stage', of which the last of each counts."`
+}
+
+// Run adds up what routers see. They saw different requests, so their bets may be multiplied: the logs are added.
+func (c *statusCmd) Run(out io.Writer) error {
+	f, _, err := c.document()
+	if err != nil {
+		return err
+	}
+	s := f.Release()
+	if s == nil {
+		return errors.New("there is no release")
+	}
+	states := make([]map[string]int, len(s.Rings))
+	sums := make([][]float64, len(s.Rings))
+	for i := range s.Rings {
+		states[i], sums[i] = map[string]int{}, make([]float64, len(stages.Measures()))
+	}
+	for _, file := range c.Logs {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		var line struct {
+			Stage cells.StageNow `json:"stage"`
+		}
+		if !lastLine(text, "stage", &line) {
+			return fmt.Errorf("%s: no line 'stage'", file)
+		}
+		if line.Stage.Name != s.Name || len(line.Stage.Rings) != len(s.Rings) {
+			return fmt.Errorf("%s: tells of release %q", file, line.Stage.Name)
+		}
+		for i, r := range line.Stage.Rings {
+			states[i][r.State]++
+			for m, e := range r.Evidence {
+				if m < len(sums[i]) {
+					sums[i][m] += e
+				}
+			}
+		}
+	}
+	bound := math.Log(float64(len(stages.Measures())) / s.Terms().Alpha)
+	harm := ""
+	for i, r := range s.Rings {
+		fmt.Fprintf(out, "ring %d, %s:", i, strings.Join(r.Cells, ","))
+		for _, state := range sortedKeys(states[i]) {
+			fmt.Fprintf(out, " %s at %d routers", state, states[i][state])
+		}
+		for m, e := range sums[i] {
+			fmt.Fprintf(out, "; %s %.1f of %.1f", stages.Measures()[m], e, bound)
+			if e >= bound {
+				harm = fmt.Sprintf("ring %d does harm, by %s", i, stages.Measures()[m])
+			}
+		}
+		fmt.Fprintln(out)
+	}
+	if harm != "" {
+		fmt.Fprintf(out, "%s: spanctl stage stop %s\n", harm, c.File)
+	}
+	return nil
+}
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -132,7 +132,9 @@
 	if err != nil {
 		return err
 	}
-	core.Confine(assigned, on.Document())
+	if err := core.Confine(assigned, on.Document(), on.Release()); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
 	apply := func(n router.Notice) {
 		pools.Apply(n)
 		core.Apply(n)
@@ -229,16 +231,25 @@
 		log.Error().Err(err).Msg("new features can't be used")
 		return old
 	}
-	core.Confine(assigned, on.Document())
+	if err := core.Confine(assigned, on.Document(), on.Release()); err != nil { // it was checked: this can't be
+		log.Error().Err(err).Msg("new features can't be used")
+	}
 	version := int64(0)
 	if assigned != nil {
 		version = assigned.Version()
 	}
 	_, moving := core.Moves()
-	log.Info().Int64("cells", version).Int64("moves", moving).Msg("new features")
+	log.Info().Int64("cells", version).Int64("moves", moving).Str("release", releaseName(on)).Msg("new features")
 	return on
 }
 
+func releaseName(f *features.File) string {
+	if s := f.Release(); s != nil {
+		return s.Name
+	}
+	return ""
+}
+
 // report prints the counters on SIGUSR1.
 func report(ctx context.Context, core *router.Router, server *msgpackrpc.Server, log zerolog.Logger) error {
 	asked := make(chan os.Signal, 1)
@@ -275,5 +286,8 @@
 	if paths, version := core.Moves(); version > 0 {
 		log.Info().Int64("version", version).Int64("moved", p.Stats.Moved).Int64("kept", p.Stats.Kept).Interface("moves", paths).Msg("moves")
 	}
+	if release := core.Release(); release != nil {
+		log.Info().Interface("stage", release).Msg("stage")
+	}
 	log.Info().Interface("demand", demand).Msg("demand")
 }
--- a/core/stages/judge.go
+++ b/core/stages/judge.go
@@ -250,3 +250,6 @@
 	}
 	return math.Log(float64(measures)*float64(len(factors))/t.Alpha) * max(burst, 1) / best
 }
+
+// Measures names all measures, in their order.
+func Measures() []string { return measureNames[:] }
--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -59,4 +59,20 @@
       },
     ],
   },
+  // A release let into cells ring by ring, and judged: docs/stages.md. Its objects are refused in cells that have not got it.
+  stage: {
+    enabled: false,
+    version: 1,  // greater with every change of this section
+    name: 'prices-2026-12',
+    families: [40, 41],  // and, or instead, prefix: how its objects begin, in hex
+    since: 1764576000000,
+    rings: [
+      { cells: ['north'], open: 1764576060000, 'for': 600000 },  // opens at the soonest then, to be judged in so many ms
+    ],
+    unsure: 'wait',  // or go: what becomes of a ring that can't be judged in its time
+    alpha: 0.01,  // probability at most that a ring without harm is stopped
+    beta: 0.05,  // and that harm of least or more is called sound
+    least: 2,  // smallest harm that matters, as a factor on the odds of a late, failed or badly filled answer
+    margin: 1.1,  // a factor that is no harm
+  },
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -17,6 +17,7 @@
 
 	"spantack/core/cells"
 	"spantack/core/moves"
+	"spantack/core/stages"
 	"spantack/rules"
 )
 
@@ -27,6 +28,7 @@
 type File struct {
 	Cells Cells `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
 	Moves Moves `json:"moves,omitempty" jsonschema_description:"tenants on their way from cell to cell; docs/moves.md"`
+	Stage Stage `json:"stage,omitempty" jsonschema_description:"a release let into cells ring by ring; docs/stages.md"`
 }
 
 // Cells is the feature of that name.
@@ -41,6 +43,20 @@
 	moves.Document
 }
 
+// Stage is the feature of that name. It needs cells.
+type Stage struct {
+	Enabled bool `json:"enabled"`
+	stages.Stage
+}
+
+// Release is the stage in force; nil while the feature is off.
+func (f *File) Release() *stages.Stage {
+	if f == nil || !f.Stage.Enabled {
+		return nil
+	}
+	return &f.Stage.Stage
+}
+
 // Document is the moves in force; nil while the feature is off.
 func (f *File) Document() *moves.Document {
 	if f == nil || !f.Moves.Enabled {
@@ -105,24 +121,32 @@
 			return fmt.Errorf("cells.%w", err)
 		}
 	}
-	if doc == nil {
+	switch release := f.Release(); {
+	case doc == nil && release == nil:
 		return nil
-	}
-	if spec == nil {
+	case spec == nil && doc != nil:
 		return errors.New("moves.enabled: needs cells")
+	case spec == nil:
+		return errors.New("stage.enabled: needs cells")
 	}
-	if err := doc.Check(math.Inf(-1), nil); err != nil { // times are looked at when a router takes it in
-		return fmt.Errorf("moves.%w", err)
+	if doc != nil {
+		if err := doc.Check(math.Inf(-1), nil); err != nil { // times are looked at when a router takes it in
+			return fmt.Errorf("moves.%w", err)
+		}
 	}
 	a, err := cells.Compile(spec)
 	if err != nil {
 		return err
 	}
-	return a.Fits(doc)
+	return errors.Join(a.Fits(doc), a.FitsStage(f.Release()))
 }
 
-// Follows holds a file against the one in force at a time, Unix milliseconds: no move under way may be lost or begun too late.
+// Follows holds a file against the one in force at a time, Unix milliseconds: no move under way may be lost or begun too late, and a stage
+// goes on with later versions only.
 func (f *File) Follows(now float64, before *File) error {
+	if a, b := before.Release(), f.Release(); a != nil && b != nil && a.Name == b.Name && b.Version <= a.Version && !reflect.DeepEqual(a, b) {
+		return fmt.Errorf("stage.version: %d is not after %d, the one in force", b.Version, a.Version)
+	}
 	was, next := before.Document(), f.Document()
 	switch {
 	case was == nil && next == nil:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"spantack/core/cells"
 	"spantack/core/moves"
+	"spantack/core/stages"
 	"spantack/internal/clock"
 	"spantack/rules"
 )
@@ -143,14 +144,22 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
-// Confine puts an assignment of cells and a document of moves that fits it in force before it returns, or with nil none. No request sees
-// the one without the other.
-func (r *Router) Confine(next *cells.Assignment, doc *moves.Document) {
+// Confine puts an assignment of cells, and a document of moves and a release that fit it, in force before it returns, or with nil none. No
+// request sees the one without the others. Its error is that of the release, which is then not in force.
+func (r *Router) Confine(next *cells.Assignment, doc *moves.Document, release *stages.Stage) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.last = max(r.last, clock.Micros(r.clock.Now()))
 	r.rules.Confine(r.last, next)
 	r.rules.Move(r.last, doc)
+	return r.rules.Stage(r.last, release)
+}
+
+// Release tells how far the release is, nil without one.
+func (r *Router) Release() *cells.StageNow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.StageNow()
 }
 
 // Moves tells how far the moves of this depot are, and the version of their document; 0 while there is none.
