Releases in the emulator, and the experiment stages: power against harm, false alarms

Need: how often a good release is stopped, and how soon a bad one, is to be known before routers are trusted with it.

--- a/emulator/config.go
+++ b/emulator/config.go
@@ -12,6 +12,7 @@
 
 	"spantack/core/cells"
 	"spantack/core/moves"
+	"spantack/core/stages"
 	"spantack/rules"
 )
 
@@ -49,6 +50,8 @@
 	Poison *Poison     `json:"poison,omitempty"`
 	Faults []Fault     `json:"faults,omitempty"`
 
+	Release *Release `json:"release,omitempty"`
+
 	Changes []Change `json:"-"`                // of cells and moves, in the order of their times
 	Movers  []int    `json:"-"`                // tenants counted apart
 	EndS    float64  `json:"-"`                // when the last has moved, as the documents have it
@@ -81,6 +84,17 @@
 	ForS   float64 `json:"forS"`
 }
 
+// Release is a new version that a part of all catalogue requests are for from a time on. Its objects are in a family of their own.
+type Release struct {
+	FromS float64       `json:"fromS"`
+	Part  float64       `json:"part"` // of catalogue requests
+	Harm  float64       `json:"harm"` // part of its objects that fail at every cache
+	Stage *stages.Stage `json:"stage"`
+}
+
+// releaseFamily is the group of a release's objects.
+const releaseFamily = 255
+
 // Fault is something that happens to machines.
 type Fault struct {
 	Kind  string  `json:"kind"`  // "router", "cache", "depot", "deploy" or "parent"
@@ -133,6 +147,9 @@
 	if c.Group != nil && len(c.Group) != c.Tenants {
 		return errors.New("group: one for each tenant")
 	}
+	if r := c.Release; r != nil && (!(r.FromS >= 0) || !(r.Part >= 0 && r.Part <= 1) || !(r.Harm >= 0 && r.Harm <= 1) || c.Cells == nil) {
+		return errors.New("release: a time, parts of 0 to 1, and cells")
+	}
 	for i, ch := range c.Changes {
 		if !(ch.AtS >= 0) || i > 0 && ch.AtS < c.Changes[i-1].AtS || c.Cells == nil {
 			return fmt.Errorf("changes[%d]: needs cells, and a time not before the last", i)
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -77,6 +77,10 @@
 	Spread float64 `json:"spread"`
 	// DoneS is when the last router sent all of its movers' objects to their new cells.
 	DoneS float64 `json:"doneS"`
+	// Stopped is at how many routers a release was stopped, StoppedS when at the first; Passed at how many its last ring passed.
+	Stopped  int     `json:"stopped"`
+	StoppedS float64 `json:"stoppedS"`
+	Passed   int     `json:"passed"`
 	// Unended counts wishes that were neither served nor lost by the end.
 	Unended int64 `json:"unended"`
 	// Touched is the share of other tenants' worth served in depots on caches that the guilty tenant also used.
@@ -220,6 +224,7 @@
 			r.Gate.Refused[j] += s.Refused[j]
 		}
 	}
+	w.judge()
 	sum := r.Movers.Plus(r.Stayers)
 	r.Unended = sum.Asked - sum.Served - sum.Lost
 	all, touched := 0.0, 0.0
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -93,6 +93,7 @@
 	kb                   float64
 	first                int64
 	counted              bool
+	release              bool
 }
 
 type request struct {
@@ -339,6 +340,9 @@
 	r.module, r.up, r.heard, r.told, r.free, r.buckets = module, true, 0, w.now, w.now, map[int32]*bucket{}
 	w.hear(id, len(w.changes), true)
 	w.restart(r)
+	if rel := w.cfg.Release; rel != nil && rel.Stage != nil {
+		return r.module.Stage(w.now, rel.Stage)
+	}
 	return nil
 }
 
@@ -610,6 +614,13 @@
 	id := take(&w.wishes, &w.freeWish)
 	w.wishes[id] = wish{class: int32(class), tenant: int32(tenant), depot: int32(depot), key: key, object: object, part: part, kb: kb,
 		first: w.now, counted: w.now >= int64(w.cfg.WarmS*float64(sec))}
+	if r := w.cfg.Release; r != nil && class == catalogue && w.now >= int64(r.FromS*float64(sec)) {
+		if h := mix(key ^ 0x4e1ea5e); float64(h>>11)/(1<<53) < r.Part { // the same objects always
+			wi := &w.wishes[id]
+			wi.release, wi.key = true, key|1<<42
+			wi.object = objectName(tenant, wi.key)
+		}
+	}
 	w.res.offered(&w.wishes[id])
 	w.ask(id)
 }
@@ -673,12 +684,20 @@
 	}
 	before := r.module.Stats.Admitted
 	w.step(rq.router, rules.Event{Kind: rules.Request, Call: rq.call, Class: classOf[wi.class].name, Object: wi.object, Part: int64(wi.part),
-		Group: int64(wi.tenant % 256), SizeKb: wi.kb, ExpiresIn: rq.end - w.now})
+		Group: groupOf(wi), SizeKb: wi.kb, ExpiresIn: rq.end - w.now})
 	if w.cfg.Cells != nil && r.module.Stats.Admitted == before {
 		r.free -= int64(w.cfg.RouterUs * 0.75)
 	}
 }
 
+// groupOf is the family of what a wish is for.
+func groupOf(wi *wish) int64 {
+	if wi.release {
+		return releaseFamily
+	}
+	return int64(wi.tenant % releaseFamily)
+}
+
 // limit is the plain way: a bucket for each tenant at each router, as deep as two seconds.
 func (w *World) limit(r *emRouter, wi *wish) bool {
 	rate := w.limits[wi.tenant]
@@ -715,6 +734,8 @@
 			if q := w.requestOf(a.Call); q >= 0 {
 				w.final(q, a)
 			}
+		case rules.Log:
+			w.staged(id)
 		}
 	}
 }
@@ -990,6 +1011,10 @@
 	}
 	t.arrived = true
 	wi := &w.wishes[rq.wish]
+	if wi.release && s.kind == cacheServer && float64(mix(wi.key^0xbad)>>11)/(1<<53) < w.cfg.Release.Harm {
+		w.end(id, rules.Failed, 0)
+		return
+	}
 	if bad := w.poisoned(wi); bad == "err" || bad == "spoilt" {
 		if s.kind == cacheServer {
 			if bad == "err" {
--- /dev/null
+++ b/lab/experiments/stages.jsonnet
@@ -0,0 +1,25 @@
+// Releases go to one cell first: good ones, and bad ones of which a part of all objects fails at every cache. How many are stopped, how
+// soon, and how many good ones wrongly. A cell gets 26 requests a second at one router, 14% of them for the release. Each router judges alone; a release counts as stopped when one of the four has stopped it.
+local worlds = import 'worlds.libsonnet';
+local stage = {
+  version: 1, name: 'release', families: [255, 255], since: 4000, alpha: 0.01,
+  rings: [{ cells: ['cell-00'], open: 14000, 'for': 50000 }],
+};
+local harms = ['0.005', '0.01', '0.02', '0.05', '0.1', '0.2'];
+{
+  title: 'Good and bad releases in one cell',
+  sizes: { small: worlds.small { dayS: 50 }, full: worlds.small { dayS: 50 } },
+  watch: -1,
+  arms: { stage: { cells: 4 } },
+  days: { good: { worlds: { small: 40, full: 200 }, release: { fromS: 14, part: 0.3, harm: 0, stage: stage } } }
+        + { ['harm-' + h]: { worlds: { small: 6, full: 34 }, release: { fromS: 14, part: 0.3, harm: std.parseJson(h), stage: stage } } for h in harms },
+  claims: [
+    // alpha for each of four routers
+    { name: 'good releases stopped', of: 'stage/good/stopped', most: 0.04 },
+    { name: 'bad releases of a fifth stopped', of: 'stage/harm-0.2/stopped', least: 0.8 },
+    { name: 'seconds to find a fifth', of: 'stage/harm-0.2/foundS', most: 30 },
+    { name: 'no rule broken', of: 'all/broken', most: 0 },
+  ],
+  table: ['worlds', 'stopped', 'passed', 'unsure', 'foundS', 'broken'],
+  chart: { figure: 'stopped', title: 'Releases stopped, by part of their objects that fail', arms: ['stage'], days: ['good'] + ['harm-' + h for h in harms] },
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -74,6 +74,9 @@
 	Poison *emulator.Poison `json:"poison,omitempty"`
 	Faults []emulator.Fault `json:"faults,omitempty"`
 	SkewMs float64          `json:"skewMs,omitempty"`
+	// Release is a new version; Worlds plays the day so often, each time with a seed of its own, and takes means.
+	Release *emulator.Release `json:"release,omitempty"`
+	Worlds  Count             `json:"worlds,omitempty"`
 }
 
 // Claim bounds a figure, "ARM/DAY/FIGURE", or its quotient by another. "all/broken" sums up the broken rules of all runs.
@@ -251,6 +254,10 @@
 		overflow(spec)
 	}
 	cfg.Cells = spec
+	if day.Release != nil {
+		release := *day.Release
+		cfg.Release = &release
+	}
 	if trip := arm.Trip[size]; trip != nil {
 		if err := cfg.Relocate(trip); err != nil {
 			return cfg, fmt.Errorf("trip: %w", err)
@@ -276,22 +283,37 @@
 			runs = append(runs, Run{Arm: arm, Day: day})
 		}
 	}
-	done := make(chan struct{}, len(runs))
+	type world struct{ run, nth int }
+	var all []world
+	results := make([][]emulator.Result, len(runs))
+	for i := range runs {
+		n := max(e.Days[runs[i].Day].Worlds.of(size), 1)
+		results[i] = make([]emulator.Result, n)
+		for nth := range n {
+			all = append(all, world{i, nth})
+		}
+	}
+	done := make(chan struct{}, len(all))
 	var group errgroup.Group
 	group.SetLimit(runtime.GOMAXPROCS(0))
 	go func() {
-		for i := range runs {
+		for i := range all {
 			<-done
 			if tick != nil {
-				tick(i+1, len(runs))
+				tick(i+1, len(all))
 			}
 		}
 	}()
-	for i := range runs {
+	configs := make([]emulator.Config, len(runs))
+	for _, at := range all {
 		group.Go(func() error {
 			defer func() { done <- struct{}{} }()
-			r := &runs[i]
-			cfg, err := e.configure(size, seed, e.Arms[r.Arm], e.Days[r.Day])
+			r := &runs[at.run]
+			own := seed
+			if len(results[at.run]) > 1 { // of each world its own, the same on days that differ in the release alone
+				own = seed*1_000_003 + uint64(at.nth)
+			}
+			cfg, err := e.configure(size, own, e.Arms[r.Arm], e.Days[r.Day])
 			if err != nil {
 				return err
 			}
@@ -302,14 +324,22 @@
 			if cfg.Flood == nil && cfg.Poison == nil && e.Watch >= 0 {
 				w.Watch(e.Watch)
 			}
-			res := w.Run()
-			r.take(&cfg, &res)
+			if at.nth == 0 {
+				configs[at.run] = cfg
+			}
+			results[at.run][at.nth] = w.Run()
 			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
+	for i := range runs {
+		runs[i].take(&configs[i], &results[i][0])
+		if len(results[i]) > 1 {
+			runs[i].releases(&configs[i], results[i])
+		}
+	}
 	o := &Outcome{Experiment: e.Name, Size: size, Seed: seed, Runs: runs}
 	for _, c := range e.Claims {
 		v, err := o.judge(c)
@@ -356,6 +386,25 @@
 	}
 }
 
+// releases sums up the worlds of a day with a release.
+func (r *Run) releases(cfg *emulator.Config, all []emulator.Result) {
+	stopped, passed, broken, sum := 0.0, 0.0, 0.0, 0.0
+	for i := range all {
+		if all[i].Stopped > 0 {
+			stopped++
+			sum += all[i].StoppedS - cfg.Release.Stage.Rings[0].Open/1000
+		}
+		if all[i].Stopped == 0 && all[i].Passed > 0 {
+			passed++
+		}
+		broken += float64(all[i].BrokenRules())
+	}
+	n := float64(len(all))
+	r.Figures["worlds"], r.Figures["stopped"], r.Figures["passed"], r.Figures["broken"] = n, round(stopped/n), round(passed/n), broken
+	r.Figures["unsure"] = round((n - stopped - passed) / n)
+	r.Figures["foundS"] = round(sum / max(stopped, 1))
+}
+
 // Figure finds "ARM/DAY/FIGURE", or "all/broken".
 func (o *Outcome) Figure(at string) (float64, error) {
 	parts := strings.Split(at, "/")
