Background work in the router by its scheduler: moves and releases while no request comes, reports

Need: a ring must open, and its end be logged, also where no request comes; SIGUSR1 in a flood must not keep the core busy; later purges and compaction want the same place. Without the flag it is not there.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -20,6 +20,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"spantack/core/cells"
+	"spantack/core/sched"
+	"spantack/internal/background"
 	"spantack/internal/board"
 	"spantack/internal/clock"
 	"spantack/internal/config"
@@ -50,6 +52,8 @@
 	// extraShare of the limit is what further client connections may take, at clientBytes each.
 	extraShare  = 0.15
 	clientBytes = 32 << 10
+	// turnEvery, in milliseconds, moves and releases are looked at while no request comes.
+	turnEvery = 500
 	// spareSockets are for the listener, the board, logs and connections on their way out.
 	spareSockets = 48
 )
@@ -161,7 +165,15 @@
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return follower.Run(serving) })
-	group.Go(func() error { return report(serving, core, server, log) })
+	var later *background.Runner
+	if file != "" { // without the flag nothing new is on
+		if later, err = background.New(now, uint64(c.Seed), log); err != nil {
+			return err
+		}
+		later.Every(serving, "turn", turnEvery, sched.Prompt, core.Turn)
+		group.Go(func() error { return later.Run(serving) })
+	}
+	group.Go(func() error { return report(serving, core, server, later, log) })
 	group.Go(func() error {
 		for {
 			select {
@@ -251,7 +263,7 @@
 }
 
 // report prints the counters on SIGUSR1.
-func report(ctx context.Context, core *router.Router, server *msgpackrpc.Server, log zerolog.Logger) error {
+func report(ctx context.Context, core *router.Router, server *msgpackrpc.Server, later *background.Runner, log zerolog.Logger) error {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
@@ -260,7 +272,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-asked:
-			counters(core, server, log)
+			if later == nil {
+				counters(core, server, log)
+			} else if err := later.Submit("report", sched.Steady, 1, func() { counters(core, server, log) }); err != nil && !errors.Is(err, sched.ErrKnown) {
+				log.Warn().Err(err).Msg("report put off")
+			}
 		}
 	}
 }
--- a/core/cells/staging.go
+++ b/core/cells/staging.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Turn lets the time of moves and of a release pass also while no request comes, and returns what is to be logged.
+func (m *Module) Turn(now int64) []rules.Action {
+	if m.spec == nil {
+		return nil
+	}
+	m.look(now)
+	m.turn(now)
+	says := m.says
+	m.says = nil
+	return says
+}
+
 // judged books the end of an attempt for the stage that runs.
 func (m *Module) judged(now int64, o *open, ev *rules.Event) {
 	if m.stage == nil {
--- a/core/cells/staging_test.go
+++ b/core/cells/staging_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// With no request at all a ring opens in its time, and the log hears of it once.
+func TestTurnWithoutRequests(t *testing.T) {
+	m := module(t, two(), names(8)...)
+	if err := m.Stage(10*sec, prices()); err != nil {
+		t.Fatal(err)
+	}
+	if says := m.Turn(59 * sec); len(says) != 0 {
+		t.Errorf("before: %v", says)
+	}
+	if says := m.Turn(60 * sec); len(says) != 1 || !strings.Contains(says[0].Text, "judging") {
+		t.Errorf("at its time: %v", says)
+	}
+	if says := m.Turn(61 * sec); len(says) != 0 {
+		t.Errorf("after: %v", says)
+	}
+}
+
 func TestFitsStageNamesTheField(t *testing.T) {
 	a := compile(t, two())
 	for want, spoil := range map[string]func(*stages.Stage){
--- /dev/null
+++ b/internal/background/background.go
@@ -0,0 +1,141 @@
+// Package background runs work that can wait beside the requests of a router, in the order and within the budget of core/sched: one goroutine,
+// one job at a time, so that it never takes more than its part of the core.
+package background
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime/debug"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"spantack/core/sched"
+	"spantack/internal/clock"
+)
+
+// Budget of all background work of a router.
+const (
+	coreMsPerS = 20.0 // milliseconds of its core a second
+	mostQueue  = 64
+	leaseMs    = 10_000
+	backoffMs  = 500
+	longestMs  = 30_000
+	patienceMs = 2000
+)
+
+// Runner runs jobs. New makes one.
+type Runner struct {
+	clock *clock.Clock
+	log   zerolog.Logger
+
+	mu    sync.Mutex // never held while a job runs
+	sched *sched.Scheduler
+	jobs  map[string]func()
+	wake  chan struct{}
+}
+
+// New returns a runner without jobs; seed feeds the jitter of back-offs.
+func New(c *clock.Clock, seed uint64, log zerolog.Logger) (*Runner, error) {
+	s, err := sched.New(sched.Config{Resources: []sched.Resource{{Name: "core", PerS: coreMsPerS, Span: clock.Micros(1000)}}, MostQueue: mostQueue, MostOut: 1,
+		Lease: clock.Micros(leaseMs), Backoff: clock.Micros(backoffMs), MostWait: clock.Micros(longestMs), Patience: clock.Micros(patienceMs)}, clock.Micros(c.Now()), seed)
+	if err != nil {
+		return nil, fmt.Errorf("background: %w", err)
+	}
+	return &Runner{clock: c, log: log, sched: s, jobs: map[string]func(){}, wake: make(chan struct{}, 1)}, nil
+}
+
+// Submit queues a job of so many milliseconds, as far as that is known. One that waits or runs already under its id is not queued twice.
+func (r *Runner) Submit(id string, p sched.Priority, costMs float64, run func()) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	over, err := r.sched.Submit(clock.Micros(r.clock.Now()), sched.Job{ID: id, Priority: p, Cost: []float64{costMs}, Tries: 3})
+	for _, o := range over {
+		delete(r.jobs, o.ID)
+	}
+	if err != nil {
+		return fmt.Errorf("background job %s: %w", id, err)
+	}
+	r.jobs[id] = run
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Every runs a job again and again, so many milliseconds after its last end, until the context ends. It is left out for once while the
+// queue has no room for it.
+func (r *Runner) Every(ctx context.Context, id string, ms float64, p sched.Priority, run func()) {
+	var again func()
+	again = func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if err := r.Submit(id, p, 0, func() {
+			run()
+			r.clock.AfterFunc(ms, again)
+		}); err != nil {
+			r.clock.AfterFunc(ms, again)
+		}
+	}
+	again()
+}
+
+// Run does what is due until the context ends.
+func (r *Runner) Run(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		ready := r.sched.Step(clock.Micros(r.clock.Now()))
+		for _, o := range ready.Over {
+			delete(r.jobs, o.ID)
+		}
+		r.mu.Unlock()
+		for _, s := range ready.Start {
+			r.attempt(s)
+		}
+		if len(ready.Start) > 0 {
+			continue
+		}
+		wait := math.Inf(1)
+		if ready.Next != math.MaxInt64 {
+			wait = max(clock.Millis(ready.Next)-r.clock.Now(), 1)
+		}
+		rung, timer := r.clock.Alarm(min(wait, leaseMs))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-r.wake:
+		case <-rung:
+		}
+		timer.Stop()
+	}
+}
+
+// attempt runs one job and books what it took.
+func (r *Runner) attempt(s sched.Start) {
+	r.mu.Lock()
+	run := r.jobs[s.ID]
+	r.mu.Unlock()
+	began, how := r.clock.Now(), sched.Fail
+	func() {
+		defer func() {
+			if p := recover(); p != nil { // a fault in work that can wait must not take the router down
+				r.log.Error().Str("job", s.ID).Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("background job failed")
+			}
+		}()
+		run()
+		how = sched.Done
+	}()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if how == sched.Done {
+		delete(r.jobs, s.ID)
+	}
+	now := r.clock.Now()
+	for _, o := range r.sched.End(clock.Micros(now), s.ID, s.Attempt, how, []float64{max(now-began, 0)}) {
+		delete(r.jobs, o.ID)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -155,6 +155,17 @@
 	return r.rules.Stage(r.last, release)
 }
 
+// Turn lets the time of moves and of a release pass while no request comes.
+func (r *Router) Turn() {
+	r.mu.Lock()
+	r.last = max(r.last, clock.Micros(r.clock.Now()))
+	says := r.rules.Turn(r.last)
+	r.mu.Unlock()
+	for _, a := range says {
+		r.log.Info().Str("text", a.Text).Msg("module says")
+	}
+}
+
 // Release tells how far the release is, nil without one.
 func (r *Router) Release() *cells.StageNow {
 	r.mu.Lock()
