--- a/lab/local/local_test.go
+++ b/lab/local/local_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -334,3 +335,73 @@
 		waitLog(t, r, `"message":"moves"`)
 	}
 }
+
+// Two routers and a release in one of two cells: refused before its ring opens, served after, and once its objects fail at the caches taken
+// back by each router for itself, while nothing else is touched.
+func TestReleaseInService(t *testing.T) {
+	spec := cells.Spec{Version: 1, Scheme: cells.Fixed,
+		Cells:   []cells.Cell{{Name: "one", Share: 0.5}, {Name: "two", Share: 0.5}},
+		Tenants: []cells.Tenant{{Name: "first", Cell: "one"}, {Name: "rest", Cell: "two"}},
+		Keys:    []cells.Key{{Families: []int{0, 0}, Tenant: "first"}, {Families: []int{2, 2}, Tenant: "first"}, {Tenant: "rest"}},
+	}
+	var bad atomic.Bool
+	opens := float64(time.Now().UnixMilli()) + 12_000 // the routers are up long before
+	release := stages.Stage{Version: 1, Name: "r", Families: []int{2, 2}, Since: opens - 12_000, Rings: []stages.Ring{{Cells: []string{"one"}, Open: opens, For: 600_000}}}
+	f := features.File{Cells: features.Cells{Enabled: true, Spec: spec}, Stage: features.Stage{Enabled: true, Stage: release}}
+	f.Moves.Moves = []moves.Move{}
+	text, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := start(t, Options{Routers: 2, Caches: 4, Delay: time.Millisecond, Features: string(text), Script: func(g tier.Get) tier.Fault {
+		if bad.Load() && strings.HasPrefix(g.Object, "02") {
+			return tier.Err
+		}
+		return tier.None
+	}})
+	run := func(seed uint64, requests int) *Report {
+		rep, err := d.Run(t.Context(), Load{Seed: seed, Requests: requests, Every: 2 * time.Millisecond, Conns: 2, Families: 3, Objects: 50})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for family, c := range rep.Family {
+			if c.Wrong+c.Lost > 0 || family < 2 && c.Served < (c.Served+c.Refused+c.Failed)*99/100 {
+				t.Errorf("family %d: %+v", family, c)
+			}
+		}
+		return rep
+	}
+	before := run(1, 1500)
+	reports := before.Class["stock-report"]
+	if c := before.Family[2]; float64(time.Now().UnixMilli()) < opens && (c.Served > 0 || c.Refused == 0) {
+		t.Errorf("before the ring opens: %+v, reports %+v", c, reports)
+	}
+	for _, r := range d.Routers {
+		waitLog(t, r, "release r, ring 0 ([one]): judging")
+	}
+	if c := run(2, 600).Family[2]; c.Served == 0 || c.Refused+c.Failed > 0 {
+		t.Errorf("where it is open: %+v", c)
+	}
+	bad.Store(true)
+	stopped := func() bool {
+		for _, r := range d.Routers {
+			log, err := os.ReadFile(r.Log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(string(log), "stopped, by ") {
+				return false
+			}
+		}
+		return true
+	}
+	for i := uint64(0); !stopped(); i++ {
+		if i == 20 {
+			t.Fatal("a release that fails whole is not stopped after 10,000 requests")
+		}
+		run(10+i, 500)
+	}
+	if c := run(50, 500).Family[2]; c.Served > 0 || c.Failed > 0 {
+		t.Errorf("after it was stopped: %+v", c)
+	}
+}
