Read once more: one place for a tenant's cell and wish; state that nothing reads is gone

Cause: spanctl worked a tenant's cell in a depot out in three places and its wish in two; the judge kept a count and a copy of a term that nobody needed and asked again what it had just checked; a figure of the moves' terms was never read; an emulated restart had two branches that did the same.

--- a/cmd/spanctl/moves.go
+++ b/cmd/spanctl/moves.go
@@ -203,10 +203,7 @@
 	if at < 0 {
 		return fmt.Errorf("%q is no tenant", c.Tenant)
 	}
-	from := spec.Tenants[at].Cell
-	if in, other := spec.Tenants[at].Depots[c.Depot]; other {
-		from = in
-	}
+	from := cellIn(&spec.Tenants[at], c.Depot)
 	now := c.now()
 	m := moves.Move{Tenant: c.Tenant, Depot: c.Depot, From: from, To: c.To, Start: now + ms(c.In), Warm: ms(c.Warm), Shift: ms(c.Shift), Slow: c.Slow * ms(c.Shift),
 		Settle: ms(c.Settle), Hot: c.Hot}
@@ -220,6 +217,19 @@
 	return c.put(out, f, doc)
 }
 
+// cellIn is a tenant's cell in a depot.
+func cellIn(t *cells.Tenant, depot string) string {
+	if in, other := t.Depots[depot]; other {
+		return in
+	}
+	return t.Cell
+}
+
+// wish is a tenant's move as the planner wants it, from what it asks for in KB a second.
+func wish(tenant, from, to string, kbPerS float64) order.Wish {
+	return order.Wish{Tenant: tenant, From: from, To: to, KbPerS: kbPerS, FillKb: kbPerS * order.AskedIn}
+}
+
 func ms(d time.Duration) float64 { return float64(d.Milliseconds()) }
 
 // sweep leaves out what a tenant's ended moves have left behind, so that it may move once more.
@@ -247,7 +257,7 @@
 		if len(d.Loads) < 2 {
 			return nil, fmt.Errorf("demand of %s: requests and KB a second are needed", d.Name)
 		}
-		wishes[d.Name] = order.Wish{Tenant: d.Name, From: way[0], To: way[1], KbPerS: d.Loads[1], FillKb: d.Loads[1] * order.AskedIn}
+		wishes[d.Name] = wish(d.Name, way[0], way[1], d.Loads[1])
 	}
 	return wishes, nil
 }
@@ -284,10 +294,7 @@
 	lives, fills := map[string]float64{}, map[string]float64{}
 	home := map[string]string{}
 	for _, t := range spec.Tenants {
-		home[t.Name] = t.Cell
-		if in, other := t.Depots[c.Depot]; other {
-			home[t.Name] = in
-		}
+		home[t.Name] = cellIn(&t, c.Depot)
 	}
 	sum := 0.0
 	for _, d := range list {
@@ -331,7 +338,7 @@
 			return strings.Compare(b, a)
 		})
 		come[to] += d.Loads[1]
-		w := order.Wish{Tenant: d.Name, From: c.Cell, To: to, KbPerS: d.Loads[1], FillKb: d.Loads[1] * order.AskedIn}
+		w := wish(d.Name, c.Cell, to, d.Loads[1])
 		wishes, of[d.Name] = append(wishes, w), w
 	}
 	s, err := order.Plan(wishes, aim)
@@ -523,10 +530,7 @@
 			left = append(left, m)
 			continue
 		}
-		is := home[m.Tenant].Cell
-		if in, other := home[m.Tenant].Depots[m.Depot]; other {
-			is = in
-		}
+		is := cellIn(home[m.Tenant], m.Depot)
 		if is != want {
 			fmt.Fprintf(out, "%s in %s: set its cell to %s (now %s) in %s first\n", m.Tenant, m.Depot, want, is, c.File)
 			left = append(left, m)
--- a/core/cells/moving.go
+++ b/core/cells/moving.go
@@ -192,8 +192,8 @@
 // terms are what the settings say of caches, and of area caches.
 func (m *Module) terms() (caches, above moves.Terms) {
 	g, x := &m.set.Guarantees, &m.set.Extra
-	caches = moves.Terms{PaceKbPerS: x.PaceKbPerS, ColdFrom: g.ColdFrom, Cold: g.Cold, Fall: g.Fall, Tip: g.TipMultiple}
-	above = moves.Terms{PaceKbPerS: x.PaceKbPerS, ColdFrom: x.ParentFloor, Cold: x.ParentWarmsIn, Fall: g.Fall, Tip: x.UpperFallMultiple}
+	caches = moves.Terms{PaceKbPerS: x.PaceKbPerS, ColdFrom: g.ColdFrom, Cold: g.Cold, Fall: g.Fall}
+	above = moves.Terms{PaceKbPerS: x.PaceKbPerS, ColdFrom: x.ParentFloor, Cold: x.ParentWarmsIn, Fall: g.Fall}
 	return caches, above
 }
 
--- a/core/moves/room.go
+++ b/core/moves/room.go
@@ -8,7 +8,6 @@
 	ColdFrom   float64 // part of it that a server bears at its start
 	Cold       int64   // until it bears all
 	Fall       int64   // over which a server's work is summed
-	Tip        float64 // multiple of what it bears at which a cold server falls over
 }
 
 // Server is one cache or area cache. Times are microseconds.
--- a/core/moves/room_test.go
+++ b/core/moves/room_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-var terms = Terms{PaceKbPerS: 1000, ColdFrom: 0.32, Cold: 11_000_000, Fall: 3_000_000, Tip: 3}
+var terms = Terms{PaceKbPerS: 1000, ColdFrom: 0.32, Cold: 11_000_000, Fall: 3_000_000}
 
 func TestWarmth(t *testing.T) {
 	const up = 1_000_000
--- a/core/stages/judge.go
+++ b/core/stages/judge.go
@@ -76,14 +76,12 @@
 // were before, times the margin; with harm times a factor besides. What the events of a look have for or against each factor is
 // summed (Wald 1945), and betting on all of them at once gives a test that may be looked at at any time.
 type evidence struct {
-	before  [2]Tally // ring and control, before the ring opened
-	burst   float64  // how much more bad events vary than independent ones: at least 1
-	spread  float64  // sum of squared standardized differences, over looks, before
-	looks   float64
-	log     [len(factors)]float64
-	least   float64 // the same for the smallest harm that matters
-	leastOf float64
-	bad     float64
+	before [2]Tally // ring and control, before the ring opened
+	burst  float64  // how much more bad events vary than independent ones: at least 1
+	spread float64  // sum of squared standardized differences, over looks, before
+	looks  float64
+	log    [len(factors)]float64
+	least  float64 // the same for the smallest harm that matters
 }
 
 // Judge weighs a ring against its control. The zero value can't be used: NewJudge makes one.
@@ -101,7 +99,6 @@
 	j := &Judge{terms: t}
 	for i := range j.of {
 		j.of[i].burst = 1
-		j.of[i].leastOf = t.Least
 	}
 	return j, nil
 }
@@ -118,10 +115,7 @@
 		e.before[0].add(r)
 		e.before[1].add(c)
 		if k := r.Bad + c.Bad; k > 0 && r.N > 0 && c.N > 0 {
-			q := clamp(r.N / (r.N + c.N) * 1)
-			if n := e.before; n[0].N > 0 && n[1].N > 0 {
-				q = share(r.N, c.N, e.ratio())
-			}
+			q := share(r.N, c.N, e.ratio())
 			d := r.Bad - k*q
 			e.spread += d * d / (k * q * (1 - q))
 			e.looks++
@@ -192,8 +186,7 @@
 			e.log[f] += weigh(r.Bad, c.Bad, q0, share(r.N, c.N, base*factor)) / e.burst
 		}
 		low := e.ratio() / math.Sqrt(doubt) // by one standard error: what is called sound must be so if the ring was better before than it looked
-		e.least += weigh(r.Bad, c.Bad, share(r.N, c.N, low), share(r.N, c.N, low*e.leastOf)) / e.burst
-		e.bad += k
+		e.least += weigh(r.Bad, c.Bad, share(r.N, c.N, low), share(r.N, c.N, low*j.terms.Least)) / e.burst
 	}
 }
 
--- a/emulator/moving.go
+++ b/emulator/moving.go
@@ -82,9 +82,7 @@
 	r.changed = 0
 	for i, ch := range w.cfg.Changes {
 		at := int64(ch.AtS * float64(sec))
-		if at+reloadsIn <= w.now {
-			w.takeIn(r, i)
-		} else if at <= w.now { // its file is there
+		if at <= w.now { // its file is there
 			w.takeIn(r, i)
 		} else if w.now > 0 { // what comes later finds it with another generation
 			w.push(event{at: at + int64(r.seeds.Float64()*float64(reloadsIn)), kind: evChange, id: w.idOf(r), gen: r.gen, x: int64(i)})
