Stage releases that renew objects under their names, by the age of copies

A price file has the name of the one before, so refusing the release's objects, as for new ones, would refuse the old prices too. A request may now carry the time from which copies will do, and an age beyond its class's: three lines in rules.maxAge. core/stages says which of them a cell's ring asks for (Lets): old copies for as long as the document allows while the ring is shut, copies made since the release where it is open, nothing or whatever is there after harm, and once the document takes the release back only what was made since, in every cell.

Emulator: renewed objects, a head office that gives the old version out again, and two rules held against every answer; a fetch under way that is too old is no longer joined, and a copy is as old as the head office's answer and not as its end. Gate: a part is known to a mover's new cell once the request is let in there, no more already when only the room had let it.

Loopback: two routers, each attempt with the age that its ring allows.

--- a/cmd/spanctl/stage.go
+++ b/cmd/spanctl/stage.go
@@ -48,6 +48,9 @@
 	Ring     []string      `required:"" sep:"none" help:"The cells of one ring, separated by commas; once for each ring, in their order."`
 	In       time.Duration `default:"60s" help:"Until the first ring opens: routers learn meanwhile how its cells differ from others."`
 	For      time.Duration `default:"10m" help:"Time in which a ring must be judged."`
+	Renews   bool          `help:"Its objects have an older version; the head office gives out the new one from the first ring's time on."`
+	Keep     time.Duration `help:"With --renews: how old copies may be where a ring is shut." placeholder:"SPAN"`
+	Back     string        `help:"With --renews, what a ring taken back for harm does until stopped: refuse or serve." placeholder:"refuse|serve"`
 	Go       bool          `help:"Goes on where a ring can't be judged in its time; else it waits."`
 	Rate     float64       `help:"Requests a second that a cell gets at one router, and" placeholder:"N"`
 	Bad      float64       `help:"part of them that is bad on a usual day: with both, says how long harm takes to be found." placeholder:"P"`
@@ -66,6 +69,10 @@
 	if c.Go {
 		s.Unsure = "go"
 	}
+	if s.Renews, s.Keep, s.Back = c.Renews, ms(c.Keep), c.Back; s.Renews {
+		s.Since = now + ms(c.In) // its copies made before are old ones
+		fmt.Fprintf(out, "the head office must have the new version by %s, and not much sooner: a cell that has no copy gets what is there\n", clockTime(s.Since))
+	}
 	if old := f.Release(); old != nil {
 		if old.Name == c.Name {
 			return fmt.Errorf("release %s is there already: stop it, or give the new one a name of its own", c.Name)
@@ -89,7 +96,10 @@
 	return c.putStage(out, f, s)
 }
 
-type stopCmd struct{ onDoc }
+type stopCmd struct {
+	onDoc
+	In time.Duration `help:"Until it is taken back, where the head office needs time for that."`
+}
 
 func (c *stopCmd) Run(out io.Writer) error {
 	f, _, err := c.document()
@@ -106,7 +116,11 @@
 	s := *old
 	s.Version++
 	s.StopAt = c.now()
-	fmt.Fprintf(out, "release %s: taken back in all cells; refused there as soon as a router has this\n", s.Name)
+	if s.StopAt += ms(c.In); s.Renews {
+		fmt.Fprintf(out, "release %s: taken back in all cells; from %s on all copies made before are renewed: by then the head office must have the old version\n", s.Name, clockTime(s.StopAt))
+	} else {
+		fmt.Fprintf(out, "release %s: taken back in all cells; refused there as soon as a router has this\n", s.Name)
+	}
 	return c.putStage(out, f, s)
 }
 
--- a/cmd/spanctl/stage_test.go
+++ b/cmd/spanctl/stage_test.go
@@ -32,12 +32,17 @@
 		{"stage start F --name r1 --prefix ff --ring a --now 1000 --rate 100 --bad 0.01 --dry-run", "harm of 2.0 times the odds: found by one router after some", ""},
 		{"stage start F --name r1 --prefix ff --ring a --now 1000", "stage.json: version 1 written", ""},
 		{"stage start F --name r1 --prefix ff --ring a --now 1000", "", "is there already"},
+		{"stage start F --name r2 --prefix ff --ring a --now 1000 --renews --dry-run", "", "keep: can't be used: 0 ms"},
+		{"stage start F --name r2 --prefix ff --ring a --now 1000 --renews --keep 10m --back so --dry-run", "", "neither refuse nor serve"},
+		{"stage start F --name r2 --prefix ff --ring a --now 1000 --renews --keep 10m --back serve --dry-run", "must have the new version by", ""},
 		{"check F", "stage: on, r1 version 1, 1 rings\n", ""},
 		{"stage status F " + one, "late answers 4.1 of 5.7; failures -1.0 of 5.7", ""},
 		{"stage status F " + one + " " + two, "ring 0 does harm, by late answers: spanctl stage stop", ""},
 		{"stage status F " + other, "", `tells of release "r0"`},
 		{"stage stop F --now 90000", "taken back in all cells", ""},
 		{"stage stop F --now 91000", "", "was stopped already"},
+		{"stage start F --name r3 --prefix ff --ring a --now 100000 --renews --keep 10m", "version 3 written", ""},
+		{"stage stop F --now 200000 --in 5s", "all copies made before are renewed", ""},
 	} {
 		var out bytes.Buffer
 		err := run(strings.Fields(strings.ReplaceAll(c.args, " F", " "+file)), &out)
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -454,7 +454,7 @@
 	}
 	c := &m.cells[home]
 	release := m.stage != nil && m.stage.Stage().Holds(int(ev.Group), ev.Object)
-	if release && !m.stage.Open(c.name) {
+	if release && !m.onStage(c.name, ev) {
 		return Staged
 	}
 	c.asked.add(now, 1)
@@ -531,7 +531,7 @@
 		ev.Spill = m.spare + 1
 	}
 	if by.into {
-		m.admitMover(&by, ev)
+		m.admitMover(now, &by, home, ev)
 	} else if !write && len(m.paths) > 0 {
 		c.room.Lives(now, kb, fill)
 	}
--- a/core/cells/moving.go
+++ b/core/cells/moving.go
@@ -241,8 +241,6 @@
 	switch {
 	case room:
 		w.into = true
-		m.seen.addHash(now, cellHash(ev, into), 1)
-		m.Stats.Moved++
 		return into, w
 	case there:
 		w.into, w.cold = false, false
@@ -275,10 +273,13 @@
 	return fill, deep
 }
 
-// admitMover lets rules send a request to the other cell of its move where its own has no room. That never leads into the cell that
-// objects go to, past what that one bears.
-func (m *Module) admitMover(w *way, ev *rules.Event) {
+// admitMover books a request that goes to the cell that objects go to: only now is it sure to come there, and its part to be known there.
+// Rules may send it to the other cell of its move where that one has no room. That never leads into the cell that objects go to, past what
+// that one bears.
+func (m *Module) admitMover(now int64, w *way, cell int, ev *rules.Event) {
 	p := w.move
+	m.seen.addHash(now, cellHash(ev, cell), 1)
+	m.Stats.Moved++
 	back := p.from
 	if ev.Set == p.from+1 {
 		back = p.to
--- a/core/cells/staging.go
+++ b/core/cells/staging.go
@@ -82,6 +82,16 @@
 	return says
 }
 
+// onStage sets how old an answer to a request for the release may be in a cell, and reports whether there may be one.
+func (m *Module) onStage(cell string, ev *rules.Event) bool {
+	lets := m.stage.Lets(cell)
+	if lets.From > 0 {
+		ev.MadeFrom = int64(lets.From*1000) - m.Ahead
+	}
+	ev.MayAge = int64(lets.Age * 1000)
+	return !lets.Not
+}
+
 // judged books the end of an attempt for the stage that runs.
 func (m *Module) judged(now int64, o *open, ev *rules.Event) {
 	if m.stage == nil {
@@ -105,11 +115,11 @@
 }
 
 // tally counts an event at its cell. Where a cell has the release, failures and fill errors are those of the release alone: among all
-// others they would be found late. Late answers are those of the whole cell, since new objects are filled first and come later by themselves, and
+// others they would be found late; of a release that renews objects they are so already before a ring opens, to compare with. Late answers are those of the whole cell, since new objects are filled first and come later by themselves, and
 // a release that harms what else its cell serves must show too.
 func (m *Module) tally(o *open, measure stages.Measure, bad float64) {
 	cell := m.cells[o.cell].name
-	if measure != stages.Late && !o.release && m.stage.Open(cell) {
+	if measure != stages.Late && !o.release && m.stage.Apart(cell) {
 		return
 	}
 	m.stage.Count(cell, measure, 1, bad)
--- a/core/cells/staging_test.go
+++ b/core/cells/staging_test.go
@@ -100,6 +100,49 @@
 	}
 }
 
+// Prices that are renewed under their names: each cell asks for copies as its ring lets it, by the document's clock, and other objects are
+// left alone.
+func TestRenewedObjectsByAge(t *testing.T) {
+	m := module(t, two(), names(8)...)
+	m.Ahead = 200_000
+	s := prices()
+	s.Since, s.Renews, s.Keep = 50_000, true, 600_000
+	if err := m.Stage(10*sec, s); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	ask := func(now int64, group int64, object string) int64 {
+		n++
+		for _, a := range m.Step(now, []rules.Event{{Kind: rules.Request, Call: fmt.Sprint("a", n), Class: "page", ExpiresIn: 3 * sec, SizeKb: 5, Group: group, Object: object}}) {
+			if a.Kind == rules.Get {
+				return a.MaxAge
+			}
+		}
+		t.Fatalf("at %d refused: %v", now, m.Stats.Refused)
+		return 0
+	}
+	usual := ask(55*sec, 3, "aa01")
+	if got := ask(55*sec, 3, "bb01"); usual > 0 && got != 600*sec {
+		t.Errorf("ring shut: %d", got)
+	}
+	if got, most := ask(70*sec, 3, "bb02"), 20*sec+m.Ahead; got > most || got < most-10*msec {
+		t.Errorf("ring open: copies as old as %d us, %d since the release", got, most)
+	}
+	if got := ask(70*sec, 50, "bb03"); usual > 0 && got != 600*sec {
+		t.Errorf("no ring's: %d", got)
+	}
+	s2 := *s
+	s2.Version, s2.StopAt = 2, 71_000
+	if err := m.Stage(70*sec, &s2); err != nil {
+		t.Fatal(err)
+	}
+	for _, group := range []int64{3, 50} {
+		if got, most := ask(72*sec, group, "bb04"), 1*sec+m.Ahead; got > most || got < most-10*msec {
+			t.Errorf("taken back: copies as old as %d us, %d since then", got, most)
+		}
+	}
+}
+
 // With no request at all a ring opens in its time, and the log hears of it once.
 func TestTurnWithoutRequests(t *testing.T) {
 	m := module(t, two(), names(8)...)
--- a/core/stages/stage.go
+++ b/core/stages/stage.go
@@ -8,8 +8,8 @@
 	"strings"
 )
 
-// Stage is one release on its way through the cells: objects that are new with it, refused to cells that have not got it. Times are Unix
-// milliseconds, spans milliseconds.
+// Stage is one release on its way through the cells: objects that are new with it, refused to cells that have not got it, or with Renews
+// objects that the head office has under their old names in a new version since Since. Times are Unix milliseconds, spans milliseconds.
 type Stage struct {
 	Version int64  `json:"version" jsonschema:"minimum=0" jsonschema_description:"number of this document; a later one is greater"`
 	Name    string `json:"name"`
@@ -17,10 +17,14 @@
 	Prefix   string  `json:"prefix,omitempty" jsonschema_description:"how its objects begin, in hex"`
 	Families []int   `json:"families,omitempty" jsonschema_description:"first and last group of its objects"`
 	Since    float64 `json:"since" jsonschema_description:"Unix milliseconds; no ring opens before"`
+	Renews   bool    `json:"renews,omitempty" jsonschema_description:"its objects had an older version, which the head office gave out until since"`
+	Keep     float64 `json:"keep,omitempty" jsonschema_description:"ms: how old copies may be where a ring is shut; with renews only, and then needed"`
 	Rings    []Ring  `json:"rings"`
+	// Back says what a ring of renewed objects that was taken back here does until StopAt tells when the head office has the old version again.
+	Back string `json:"back,omitempty" jsonschema:"enum=refuse,enum=serve" jsonschema_description:"renewed objects of a ring taken back: refuse (if left out) or serve whatever is there"`
 	// Unsure says what becomes of a ring that has had its time without a verdict.
 	Unsure string  `json:"unsure,omitempty" jsonschema:"enum=wait,enum=go" jsonschema_description:"a ring that can't be judged in its time: wait (if left out) or go"`
-	StopAt float64 `json:"stopAt,omitempty" jsonschema_description:"from then on all rings are taken back"`
+	StopAt float64 `json:"stopAt,omitempty" jsonschema_description:"from then on all rings are taken back; with renews the head office has the old version again by then"`
 	Alpha  float64 `json:"alpha,omitempty" jsonschema_description:"probability at most that a ring without harm is stopped; 0.01 if left out"`
 	Beta   float64 `json:"beta,omitempty" jsonschema_description:"the same that harm is called sound; 0.05 if left out"`
 	Least  float64 `json:"least,omitempty" jsonschema_description:"smallest harm that matters, as a factor on the odds of a bad event; 2 if left out"`
@@ -41,6 +45,7 @@
 const (
 	MaxRings = 16
 	leastFor = 1000
+	mostKeep = 7 * 24 * 3600 * 1000
 )
 
 // Terms are those that its rings are judged by.
@@ -75,6 +80,12 @@
 		return fault("since", "%v is no time", s.Since)
 	case s.Unsure != "" && s.Unsure != "wait" && s.Unsure != "go":
 		return fault("unsure", "%q is neither wait nor go", s.Unsure)
+	case s.Back != "" && s.Back != "refuse" && s.Back != "serve":
+		return fault("back", "%q is neither refuse nor serve", s.Back)
+	case s.Back != "" && !s.Renews:
+		return fault("back", "without renews: objects that are new are refused")
+	case !(s.Keep >= 0 && s.Keep <= mostKeep) || s.Renews != (s.Keep > 0):
+		return fault("keep", "%v ms: with renews above 0 and at most a week, else 0", s.Keep)
 	case !(s.StopAt >= 0) || math.IsInf(s.StopAt, 1):
 		return fault("stopAt", "%v is no time", s.StopAt)
 	case len(s.Rings) == 0 || len(s.Rings) > MaxRings:
@@ -142,6 +153,7 @@
 	ring  map[string]int              // by cell
 	look  map[string]*[measures]Tally // of each cell, since the last look; control are cells in no open ring
 	at    float64
+	back  bool // the document's StopAt has come
 }
 
 // lookEvery, in ms, is how often what was counted is judged.
@@ -167,9 +179,9 @@
 	return p, nil
 }
 
-// Continue goes on with another version of the same stage, and reports whether it is the same: of that name, with the same rings.
+// Continue goes on with another version of the same stage, and reports whether it is the same: of that name and kind, with the same rings.
 func (p *Progress) Continue(next *Stage) bool {
-	if next.Name != p.stage.Name || !slices.EqualFunc(next.Rings, p.stage.Rings, func(a, b Ring) bool { return slices.Equal(a.Cells, b.Cells) }) {
+	if next.Name != p.stage.Name || next.Renews != p.stage.Renews || !slices.EqualFunc(next.Rings, p.stage.Rings, func(a, b Ring) bool { return slices.Equal(a.Cells, b.Cells) }) {
 		return false
 	}
 	p.stage = next
@@ -191,6 +203,39 @@
 	t[m].Bad += bad
 }
 
+// Lets is how a cell answers requests for the release's objects.
+type Lets struct {
+	Not  bool    // they are refused
+	From float64 // only with copies made since this Unix ms; 0: any
+	Age  float64 // copies may be so many ms old, where that is more than their class allows
+}
+
+// Lets tells how a cell answers them now. A ring that is shut keeps to copies of the old version for as long as the document says, and
+// can't help getting the new one where it has none. Once the document has taken the release back, every cell renews: nobody knows which of
+// its copies were made in between.
+func (p *Progress) Lets(cell string) Lets {
+	i, known := p.ring[cell]
+	switch s := p.stage; {
+	case !s.Renews:
+		return Lets{Not: !p.Open(cell)}
+	case p.back:
+		return Lets{From: s.StopAt}
+	case p.Open(cell):
+		return Lets{From: s.Since}
+	case known && p.rings[i].state == Stopped && p.rings[i].opened > 0:
+		if s.Back != "serve" {
+			return Lets{Not: true}
+		}
+	}
+	return Lets{Age: p.stage.Keep}
+}
+
+// Apart reports that failures and fill errors of a cell are to be counted for the release's objects alone.
+func (p *Progress) Apart(cell string) bool {
+	_, known := p.ring[cell]
+	return p.Open(cell) || known && p.stage.Renews
+}
+
 // Open reports that a cell has the release.
 func (p *Progress) Open(cell string) bool {
 	i, known := p.ring[cell]
@@ -222,6 +267,7 @@
 		}
 	}
 	if p.stage.StopAt > 0 && now >= p.stage.StopAt {
+		p.back = true
 		for i := range p.rings {
 			set(i, Stopped)
 		}
--- a/core/stages/stage_test.go
+++ b/core/stages/stage_test.go
@@ -136,22 +136,70 @@
 	}
 }
 
+// What cells answer with of a release that renews objects, at each point of its life: old copies where the ring is shut, new ones where it
+// is open, none or whatever there is where it was taken back for harm, and only what was made since the document took it back.
+func TestWhatCellsAnswerWith(t *testing.T) {
+	type lets map[string]Lets
+	old, renewed, none, restored := Lets{Age: 5000}, Lets{From: 1000}, Lets{Not: true}, Lets{From: 400_000}
+	for back, after := range map[string]Lets{"": none, "serve": old} {
+		s := stage()
+		s.Renews, s.Keep, s.Back = true, 5000, back
+		bad := func(p *Progress, cell string) float64 {
+			if p.Open(cell) && cell != "a" { // harm shows in the second ring
+				return 0.08
+			}
+			return 0.01
+		}
+		for _, at := range []struct {
+			until, stop float64
+			want        lets
+		}{
+			{59_000, 0, lets{"a": old, "b": old, "d": old, "h": old}},
+			{61_001, 0, lets{"a": renewed, "b": old, "d": old, "h": old}},
+			{380_000, 0, lets{"a": after, "b": after, "d": old, "h": old}},
+			{402_000, 400_000, lets{"a": restored, "b": restored, "d": restored, "h": restored}},
+		} {
+			s.StopAt = at.stop
+			p, _ := day(t, s, 3, 300, bad, at.until)
+			for cell, want := range at.want {
+				if got := p.Lets(cell); got != want {
+					t.Errorf("back %q, until %v, cell %s: %+v, want %+v", back, at.until, cell, got, want)
+				}
+			}
+		}
+	}
+	s := stage()
+	p, _ := day(t, s, 3, 300, func(*Progress, string) float64 { return 0.01 }, 61_001)
+	if p.Lets("a") != (Lets{}) || p.Lets("b") != none || p.Lets("h") != none {
+		t.Error("new objects")
+	}
+	s.Version, s.Renews, s.Keep = 2, true, 5000
+	if p.Continue(&s) {
+		t.Error("a release of another kind goes on as the same")
+	}
+}
+
 func TestStageNamesTheField(t *testing.T) {
 	for want, spoil := range map[string]func(*Stage){
-		"version: ":        func(s *Stage) { s.Version = 0 },
-		"name: ":           func(s *Stage) { s.Name = "" },
-		"prefix: ":         func(s *Stage) { s.Prefix = "" },
-		"prefix: can't":    func(s *Stage) { s.Prefix = "xy" },
-		"families: ":       func(s *Stage) { s.Families = []int{3, 1} },
-		"since: ":          func(s *Stage) { s.Since = math.NaN() },
-		"unsure: ":         func(s *Stage) { s.Unsure = "maybe" },
-		"stopAt: ":         func(s *Stage) { s.StopAt = -1 },
-		"rings: ":          func(s *Stage) { s.Rings = nil },
-		"rings[1].cells: ": func(s *Stage) { s.Rings[1].Cells = []string{"a"} },
-		"rings[0].cells: ": func(s *Stage) { s.Rings[0].Cells = nil },
-		"rings[2].open: ":  func(s *Stage) { s.Rings[2].Open = 5 },
-		"rings[0].open: ":  func(s *Stage) { s.Rings[0].For = 0 },
-		"can't be used: a": func(s *Stage) { s.Alpha = 0.7 },
+		"version: ":                  func(s *Stage) { s.Version = 0 },
+		"name: ":                     func(s *Stage) { s.Name = "" },
+		"prefix: ":                   func(s *Stage) { s.Prefix = "" },
+		"prefix: can't":              func(s *Stage) { s.Prefix = "xy" },
+		"families: ":                 func(s *Stage) { s.Families = []int{3, 1} },
+		"since: ":                    func(s *Stage) { s.Since = math.NaN() },
+		"unsure: ":                   func(s *Stage) { s.Unsure = "maybe" },
+		"stopAt: ":                   func(s *Stage) { s.StopAt = -1 },
+		"rings: ":                    func(s *Stage) { s.Rings = nil },
+		"rings[1].cells: ":           func(s *Stage) { s.Rings[1].Cells = []string{"a"} },
+		"rings[0].cells: ":           func(s *Stage) { s.Rings[0].Cells = nil },
+		"rings[2].open: ":            func(s *Stage) { s.Rings[2].Open = 5 },
+		"rings[0].open: ":            func(s *Stage) { s.Rings[0].For = 0 },
+		"can't be used: a":           func(s *Stage) { s.Alpha = 0.7 },
+		"back: can't be used: \"so":  func(s *Stage) { s.Back = "so" },
+		"back: ":                     func(s *Stage) { s.Back = "serve" },
+		"keep: ":                     func(s *Stage) { s.Keep = 5 },
+		"keep: can't be used: 0 ms":  func(s *Stage) { s.Renews = true },
+		"keep: can't be used: 1e+10": func(s *Stage) { s.Renews, s.Keep = true, 1e10 },
 	} {
 		s := stage()
 		spoil(&s)
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -84,12 +84,16 @@
 	ForS   float64 `json:"forS"`
 }
 
-// Release is a new version that a part of all catalogue requests are for from a time on. Its objects are in a family of their own.
+// Release is a new version that a part of all catalogue requests are for from a time on. Its objects are in a family of their own: new ones
+// with names of their own, or with Renews objects asked for all day, which the head office gives out in the new version from FromS on,
+// until BackS (0: for good).
 type Release struct {
-	FromS float64       `json:"fromS"`
-	Part  float64       `json:"part"` // of catalogue requests
-	Harm  float64       `json:"harm"` // part of its objects that fail at every cache
-	Stage *stages.Stage `json:"stage"`
+	FromS  float64       `json:"fromS"`
+	Part   float64       `json:"part"` // of catalogue requests
+	Harm   float64       `json:"harm"` // part of its objects that fail at every cache; of renewed ones, those that were made new
+	Renews bool          `json:"renews,omitempty"`
+	BackS  float64       `json:"backS,omitempty"`
+	Stage  *stages.Stage `json:"stage"`
 }
 
 // releaseFamily is the group of a release's objects.
@@ -150,6 +154,9 @@
 	if r := c.Release; r != nil && (!(r.FromS >= 0) || !(r.Part >= 0 && r.Part <= 1) || !(r.Harm >= 0 && r.Harm <= 1) || c.Cells == nil) {
 		return errors.New("release: a time, parts of 0 to 1, and cells")
 	}
+	if r := c.Release; r != nil && r.Stage != nil && r.Stage.Renews != r.Renews {
+		return errors.New("release.renews: its stage says otherwise")
+	}
 	for i, ch := range c.Changes {
 		if !(ch.AtS >= 0) || i > 0 && ch.AtS < c.Changes[i-1].AtS || c.Cells == nil {
 			return fmt.Errorf("changes[%d]: needs cells, and a time not before the last", i)
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -81,6 +81,12 @@
 	Stopped  int     `json:"stopped"`
 	StoppedS float64 `json:"stoppedS"`
 	Passed   int     `json:"passed"`
+	// Of a release that renews objects, answers with them: Renewed in cells that have it, Held in others while it is on its way, of which
+	// Early with the new version, and Restored once it was taken back.
+	Renewed  int64 `json:"renewed"`
+	Held     int64 `json:"held"`
+	Early    int64 `json:"early"`
+	Restored int64 `json:"restored"`
 	// Unended counts wishes that were neither served nor lost by the end.
 	Unended int64 `json:"unended"`
 	// Touched is the share of other tenants' worth served in depots on caches that the guilty tenant also used.
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -73,8 +73,9 @@
 	heard   int   // changes heard of
 	buckets map[int32]*bucket
 	seeds   *rand.Rand
-	ahead   int64 // of its clock
-	changed int   // changes of cells and moves taken in
+	ahead   int64         // of its clock
+	changed int           // changes of cells and moves taken in
+	opened  map[int]int64 // by cell, when it said that a release is let in there
 }
 
 // bucket is a plain rate limit for one tenant.
@@ -141,7 +142,8 @@
 	key     uint64
 	kb      float64
 	tenant  int32
-	flows   bool // the head office has begun to send it
+	flows   bool  // the head office has begun to send it
+	made    int64 // when
 	waiters []ref
 }
 
@@ -337,7 +339,7 @@
 	if w.assigned != nil {
 		module.Confine(w.now, w.assigned)
 	}
-	r.module, r.up, r.heard, r.told, r.free, r.buckets = module, true, 0, w.now, w.now, map[int32]*bucket{}
+	r.module, r.up, r.heard, r.told, r.free, r.buckets, r.opened = module, true, 0, w.now, w.now, map[int32]*bucket{}, nil
 	w.hear(id, len(w.changes), true)
 	w.restart(r)
 	if rel := w.cfg.Release; rel != nil && rel.Stage != nil {
@@ -614,11 +616,13 @@
 	id := take(&w.wishes, &w.freeWish)
 	w.wishes[id] = wish{class: int32(class), tenant: int32(tenant), depot: int32(depot), key: key, object: object, part: part, kb: kb,
 		first: w.now, counted: w.now >= int64(w.cfg.WarmS*float64(sec))}
-	if r := w.cfg.Release; r != nil && class == catalogue && w.now >= int64(r.FromS*float64(sec)) {
+	if r := w.cfg.Release; r != nil && class == catalogue && (r.Renews || w.now >= int64(r.FromS*float64(sec))) {
 		if h := mix(key ^ 0x4e1ea5e); float64(h>>11)/(1<<53) < r.Part { // the same objects always
 			wi := &w.wishes[id]
-			wi.release, wi.key = true, key|1<<42
-			wi.object = objectName(tenant, wi.key)
+			if wi.release = true; !r.Renews {
+				wi.key = key | 1<<42
+				wi.object = objectName(tenant, wi.key)
+			}
 		}
 	}
 	w.res.offered(&w.wishes[id])
@@ -933,6 +937,10 @@
 	if t.asked > 0 { // what the answer took beyond its sending
 		t.waited = max(w.now-t.asked-int64(w.kbOf(id)/paceKbS*float64(sec)), 0)
 	}
+	if wi := &w.wishes[w.requests[t.request].wish]; wi.release && w.renewed(t.made) && w.harmed(wi) {
+		w.end(id, rules.Failed, 0)
+		return
+	}
 	w.end(id, rules.Done, t.note)
 }
 
@@ -1011,7 +1019,7 @@
 	}
 	t.arrived = true
 	wi := &w.wishes[rq.wish]
-	if wi.release && s.kind == cacheServer && float64(mix(wi.key^mix(w.cfg.Seed))>>11)/(1<<53) < w.cfg.Release.Harm {
+	if wi.release && !w.cfg.Release.Renews && s.kind == cacheServer && w.harmed(wi) {
 		w.end(id, rules.Failed, 0)
 		return
 	}
@@ -1121,7 +1129,7 @@
 	s := &w.servers[parent]
 	key := w.partKey(id)
 	f, under := s.fetches[key]
-	if !under {
+	if !under || w.fetches[f].flows && w.fetches[f].made < w.oldest(t) { // also where what is on its way is older than will do
 		f = take(&w.fetches, &w.freeF)
 		fe := &w.fetches[f]
 		*fe = fetch{gen: fe.gen + 1, parent: parent, key: key, kb: w.kbOf(id), tenant: w.wishes[w.requests[t.request].wish].tenant, waiters: fe.waiters[:0]}
@@ -1131,7 +1139,7 @@
 	t.fetch = f
 	w.fetches[f].waiters = append(w.fetches[f].waiters, ref{id, t.gen})
 	if w.fetches[f].flows {
-		t.made = w.now
+		t.made = w.fetches[f].made
 		w.flow(id, parent)
 	}
 }
@@ -1146,7 +1154,7 @@
 	o := &w.servers[w.origin]
 	w.links[o.link].add(w.now, fe.kb, transfer{owner: f, gen: fe.gen, stage: toParent})
 	w.arm(o.link)
-	fe.flows = true
+	fe.flows, fe.made = true, w.now
 	for _, r := range fe.waiters {
 		if t := &w.tries[r.id]; t.gen == r.gen && t.fetch == f {
 			t.made = w.now
@@ -1159,7 +1167,9 @@
 func (w *World) fetchDone(f int32, tell func(id int32)) {
 	fe := &w.fetches[f]
 	fe.gen++
-	delete(w.servers[fe.parent].fetches, fe.key)
+	if fetches := w.servers[fe.parent].fetches; fetches[fe.key] == f { // and not a later one
+		delete(fetches, fe.key)
+	}
 	waiters := fe.waiters
 	fe.waiters = nil
 	for _, r := range waiters {
@@ -1175,7 +1185,7 @@
 	fe := &w.fetches[f]
 	s := &w.servers[fe.parent]
 	if s.up {
-		s.store.put(fe.key, fe.kb, w.now)
+		s.store.put(fe.key, fe.kb, fe.made)
 	}
 	w.fetchDone(f, w.whole)
 }
@@ -1205,6 +1215,7 @@
 	rq.try = -1
 	if t.code == rules.Done {
 		rq.served = true
+		w.answered(&t)
 		w.final(t.request, rules.Action{Kind: rules.Get})
 	}
 	w.step(rq.router, rules.Event{Kind: rules.Outcome, Call: rq.call, Attempt: int(rq.number), Node: w.servers[t.node].name, Code: t.code,
--- a/lab/experiments/stages.jsonnet
+++ b/lab/experiments/stages.jsonnet
@@ -5,6 +5,9 @@
   version: 1, name: 'release', families: [255, 255], since: 4000, alpha: 0.01,
   rings: [{ cells: ['cell-00'], open: 14000, 'for': 50000 }],
 };
+// Price files under their old names: the ring may open two seconds after the head office has the new ones.
+local renews = stage { renews: true, since: 12000, keep: 300000 };
+local renewed(harm, more={}) = { fromS: 12, part: 0.3, harm: harm, renews: true, stage: renews + more };
 local harms = ['0.005', '0.01', '0.02', '0.05', '0.1', '0.2'];
 {
   title: 'Good and bad releases in one cell',
@@ -12,14 +15,24 @@
   watch: -1,
   arms: { stage: { cells: 4 } },
   days: { good: { worlds: { small: 40, full: 200 }, release: { fromS: 14, part: 0.3, harm: 0, stage: stage } } }
-        + { ['harm-' + h]: { worlds: { small: 6, full: 34 }, release: { fromS: 14, part: 0.3, harm: std.parseJson(h), stage: stage } } for h in harms },
+        + { ['harm-' + h]: { worlds: { small: 6, full: 34 }, release: { fromS: 14, part: 0.3, harm: std.parseJson(h), stage: stage } } for h in harms }
+        + {
+          'renews-good': { worlds: { small: 10, full: 100 }, release: renewed(0) },
+          'renews-harm-0.1': { worlds: { small: 6, full: 34 }, release: renewed(0.1) },
+          'renews-harm-0.2': { worlds: { small: 6, full: 34 }, release: renewed(0.2) },
+          // taken back by the document ten seconds before the end
+          'renews-back': { worlds: { small: 6, full: 34 }, release: renewed(0, { stopAt: 40000 }) + { backS: 39 } },
+        },
   claims: [
     // 0.04 is stated, alpha for each of four routers; of 200 worlds some more by chance
     { name: 'good releases stopped', of: 'stage/good/stopped', most: 0.08 },
     { name: 'bad releases of a tenth stopped', of: 'stage/harm-0.1/stopped', least: 0.8 },
     { name: 'seconds to find a tenth', of: 'stage/harm-0.1/foundS', most: 25 },
+    { name: 'good renewals stopped', of: 'stage/renews-good/stopped', most: 0.08 },
+    { name: 'bad renewals of a fifth stopped', of: 'stage/renews-harm-0.2/stopped', least: 0.8 },
+    { name: 'new versions where the ring is shut', of: 'stage/renews-good/early', most: 0.25 },
     { name: 'no rule broken', of: 'all/broken', most: 0 },
   ],
-  table: ['worlds', 'stopped', 'passed', 'unsure', 'foundS', 'broken'],
+  table: ['worlds', 'stopped', 'passed', 'unsure', 'foundS', 'renewed', 'early', 'restored', 'broken'],
   chart: { figure: 'stopped', title: 'Releases stopped, by part of their objects that fail', arms: ['stage'], days: ['good'] + ['harm-' + h for h in harms] },
 }
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -389,6 +389,7 @@
 // releases sums up the worlds of a day with a release.
 func (r *Run) releases(cfg *emulator.Config, all []emulator.Result) {
 	stopped, passed, broken, sum := 0.0, 0.0, 0.0, 0.0
+	var renewed, held, early, restored int64
 	for i := range all {
 		if all[i].Stopped > 0 {
 			stopped++
@@ -398,6 +399,12 @@
 			passed++
 		}
 		broken += float64(all[i].BrokenRules())
+		renewed, held = renewed+all[i].Renewed, held+all[i].Held
+		early, restored = early+all[i].Early, restored+all[i].Restored
+	}
+	if cfg.Release.Renews { // answers with its objects, and in cells that have not got it the part that was new
+		r.Figures["renewed"], r.Figures["restored"] = float64(renewed), float64(restored)
+		r.Figures["early"] = round(float64(early) / float64(max(held, 1)))
 	}
 	n := float64(len(all))
 	r.Figures["worlds"], r.Figures["stopped"], r.Figures["passed"], r.Figures["broken"] = n, round(stopped/n), round(passed/n), broken
--- a/lab/local/local_test.go
+++ b/lab/local/local_test.go
@@ -405,3 +405,66 @@
 		t.Errorf("after it was stopped: %+v", c)
 	}
 }
+
+// Two routers and prices renewed under their names, from the ring's time to the document's way back: every attempt for them at every server
+// carries the age that its cell's ring allows at that moment, and nothing is refused.
+func TestRenewalInService(t *testing.T) {
+	spec := cells.Spec{Version: 1, Scheme: cells.Fixed,
+		Cells:   []cells.Cell{{Name: "one", Share: 0.5}, {Name: "two", Share: 0.5}},
+		Tenants: []cells.Tenant{{Name: "first", Cell: "one"}, {Name: "rest", Cell: "two"}},
+		Keys:    []cells.Key{{Families: []int{0, 0}, Tenant: "first"}, {Families: []int{2, 2}, Tenant: "first"}, {Tenant: "rest"}},
+	}
+	since := float64(time.Now().UnixMilli()) + 5000
+	const keep = 3_600_000
+	release := stages.Stage{Version: 1, Name: "r", Families: []int{1, 2}, Since: since, Renews: true, Keep: keep, StopAt: since + 6000,
+		Rings: []stages.Ring{{Cells: []string{"one"}, Open: since, For: 600_000}}}
+	f := features.File{Cells: features.Cells{Enabled: true, Spec: spec}, Stage: features.Stage{Enabled: true, Stage: release}}
+	f.Moves.Moves = []moves.Move{}
+	text, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := start(t, Options{Routers: 2, Caches: 4, Delay: time.Millisecond, Features: string(text)})
+	ages := func(seed uint64, check func(family string, g tier.Get, at float64)) (seen int) {
+		from := len(d.Ledger.Gets())
+		rep, err := d.Run(t.Context(), Load{Seed: seed, Requests: 600, Every: 2 * time.Millisecond, Conns: 2, Families: 3, Objects: 50})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for family, c := range rep.Family {
+			if c.Wrong+c.Lost+c.Refused+c.Failed > 0 {
+				t.Errorf("family %d: %+v", family, c)
+			}
+		}
+		for _, g := range d.Ledger.Gets()[from:] {
+			if family := g.Object[:2]; g.Class != "stock-report" && family != "00" {
+				check(family, g, float64(g.At.UnixMilli()))
+				seen++
+			}
+		}
+		return seen
+	}
+	for _, r := range d.Routers {
+		waitLog(t, r, "release r, ring 0 ([one]): judging")
+	}
+	seen := ages(1, func(family string, g tier.Get, at float64) {
+		switch {
+		case at >= release.StopAt:
+		case family == "02" && (g.MaxAge < 1 || float64(g.MaxAge) > at-since):
+			t.Errorf("%s, cell one, %.0f ms since: copies of %d ms", g.Object, at-since, g.MaxAge)
+		case family == "01" && g.MaxAge != 0 && g.MaxAge != keep:
+			t.Errorf("%s, cell two: copies of %d ms", g.Object, g.MaxAge)
+		}
+	})
+	for _, r := range d.Routers {
+		waitLog(t, r, "release r, ring 0 ([one]): stopped")
+	}
+	seen += ages(2, func(family string, g tier.Get, at float64) {
+		if g.MaxAge < 1 || float64(g.MaxAge) > at-release.StopAt {
+			t.Errorf("%s, taken back %.0f ms before: copies of %d ms", g.Object, at-release.StopAt, g.MaxAge)
+		}
+	})
+	if seen < 200 {
+		t.Errorf("%d attempts seen", seen)
+	}
+}
--- a/rules/purges.go
+++ b/rules/purges.go
@@ -32,7 +32,8 @@
 	return since
 }
 
-// maxAge is the oldest copy that will do, 0 for any: fresh less jitter, held: grace too; none before a purge.
+// maxAge is the oldest copy that will do, 0 for any: fresh less jitter, held: grace too; none before a purge
+// or the request's own time.
 func (r *Router) maxAge(q *request) int64 {
 	fresh := at(r.set.Extra.FreshFor, q.class)
 	limit := int64(0)
@@ -41,9 +42,13 @@
 		if q.held {
 			limit = fresh + at(r.set.Extra.GraceFor, q.class)
 		}
+		limit = max(limit, q.MayAge)
 	}
 	if since := r.sincePurge(q); since != 0 && (limit == 0 || since < limit) {
 		limit = since
 	}
+	if since := max(r.now-q.MadeFrom-purgeMargin, 1); q.MadeFrom != 0 && (limit == 0 || since < limit) {
+		limit = since
+	}
 	return limit
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -357,6 +357,37 @@
 	}
 }
 
+// A request may name the time from which copies will do, which binds a held copy too, and an age that is more than its class allows; a purge
+// binds over both.
+func TestRequestLimitsAge(t *testing.T) {
+	g := newRig(t, settings(), 2, 1)
+	g.now += 1000 * sec
+	ask := func(call, class string, madeFrom, mayAge int64) Action {
+		return g.one(Event{Kind: Request, Call: call, Class: class, Object: "x", ExpiresIn: 3 * sec, MadeFrom: madeFrom, MayAge: mayAge})
+	}
+	usual, fresh := ask("a", "big", 0, 0).MaxAge, at(settings().Extra.FreshFor, 1)
+	if kept := ask("b", "big", 0, 500*sec).MaxAge; usual > 0 && kept != 500*sec || usual == 0 && kept != 0 {
+		t.Errorf("class big: %d as usual, %d kept", usual, kept)
+	}
+	if got := ask("c", "small", 0, 500*sec).MaxAge; fresh > 0 && got != 500*sec {
+		t.Errorf("fresh for %d, may be as old as 500 s: %d", fresh, got)
+	}
+	a := ask("d", "small", g.now-100*ms, 500*sec)
+	if want := int64(100*ms - purgeMargin); a.MaxAge != want {
+		t.Errorf("copies of the last 100 ms: %d, want %d", a.MaxAge, want)
+	}
+	if b := g.one(result(a, 0, Failed, 7)); b.MaxAge <= 0 || b.MaxAge > 100*ms {
+		t.Errorf("a held copy: %d", b.MaxAge)
+	}
+	if a := ask("e", "small", g.now+sec, 0); a.MaxAge != 1 {
+		t.Errorf("from a time to come: %d", a.MaxAge)
+	}
+	g.do(Event{Kind: Purged, Object: "x", Age: 20 * ms})
+	if a := ask("f", "small", g.now-100*ms, 500*sec); a.MaxAge > 20*ms {
+		t.Errorf("after a purge: %d", a.MaxAge)
+	}
+}
+
 func TestEffects(t *testing.T) {
 	for _, tc := range []struct {
 		class string
--- a/rules/types.go
+++ b/rules/types.go
@@ -133,6 +133,8 @@
 	Rtt          int64
 	UpstreamWait int64
 	Age          int64 // of Purged: how long ago
+	MadeFrom     int64 // of Request: copies made before this time are out of date; 0: none is for that
+	MayAge       int64 // of Request: how old a copy may be, where that is more than its class allows
 	Token        int64
 	Write        bool
 	IsRetry      bool
--- a/standin/tier/tier.go
+++ b/standin/tier/tier.go
@@ -37,6 +37,7 @@
 	Part   string
 	Next   string // where a miss is filled from
 	Held   bool   // the source gives only what it holds
+	MaxAge int64  // ms, the oldest copy that will do; 0: any
 	At     time.Time
 }
 
@@ -269,6 +270,8 @@
 			g.Next = value
 		case "ways":
 			g.Held = strings.Contains(value, "held")
+		case "agelim":
+			g.MaxAge, _ = strconv.ParseInt(value, 10, 64)
 		}
 	}
 	return g
