--- /dev/null
+++ b/core/hierarchy/loop.go
@@ -0,0 +1,207 @@
+package hierarchy
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Hop is what a fill carries from node to node where the front has room for it.
+type Hop struct {
+	Path  []string // nodes that it has passed, the depot first
+	Level int      // of the last of them, as that one's shape has it
+}
+
+// MaxHops bounds a path: no shape that a network has is as deep.
+const MaxHops = 16
+
+// Start is the hop that a depot's fill begins with.
+func (g *Graph) Start(depot string) Hop { return Hop{Path: []string{depot}, Level: g.Level(depot)} }
+
+// Forward names whom a node may pass a fill on to that came with a hop, and the hop to send along. Where nodes have different shapes, one
+// may be asked by another that it would ask itself: so only nodes are named that the fill has not passed; and where the fill comes from a
+// level that is no greater than the node's own, which one shape never does, the head office alone, if there is a way. A node named in
+// the path already passes nothing on.
+func (g *Graph) Forward(node string, h Hop) (to []string, next Hop, err error) {
+	if slices.Contains(h.Path, node) {
+		return nil, Hop{}, fmt.Errorf("%w: %s > %s", ErrLoop, strings.Join(h.Path, " > "), node)
+	}
+	if len(h.Path) >= MaxHops {
+		return nil, Hop{}, fmt.Errorf("%w: %d nodes passed", ErrLoop, len(h.Path))
+	}
+	level := g.Level(node)
+	next = Hop{Path: append(slices.Clone(h.Path), node), Level: level}
+	for _, name := range g.Above(node) {
+		if name != g.shape.Head.Name && (level >= h.Level || slices.Contains(h.Path, name)) {
+			continue
+		}
+		to = append(to, name)
+	}
+	if len(to) == 0 {
+		return nil, next, fmt.Errorf("%s at level %d, from level %d by %s: %w", node, level, h.Level, strings.Join(h.Path, " > "), ErrNoWay)
+	}
+	return to, next, nil
+}
+
+// ErrNoWay is that a node has nobody left to pass a fill on to.
+var ErrNoWay = errors.New("no way on")
+
+// Bounds of a CDN-Loop header.
+const (
+	maxLoopHeader = 4096
+	maxLoopID     = 255
+)
+
+// ErrHeader is wrapped by every fault of a CDN-Loop header.
+var ErrHeader = errors.New("CDN-Loop")
+
+// ParseLoop reads the values of CDN-Loop headers (RFC 8586): a list of ids, each a host with or without a port or a pseudonym, with
+// parameters that are passed over. An id or a list that is too long is an error, and so is what the grammar does not allow: a request whose
+// header can't be read must be taken for one that loops.
+func ParseLoop(values []string) (ids []string, err error) {
+	size := 0
+	for _, v := range values {
+		if size += len(v); size > maxLoopHeader {
+			return nil, fmt.Errorf("%w: over %d bytes", ErrHeader, maxLoopHeader)
+		}
+		for rest := v; rest != ""; {
+			var id string
+			if id, rest, err = loopItem(rest); err != nil {
+				return nil, err
+			}
+			if id != "" { // a list may have empty elements (RFC 9110, 5.6.1)
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids, nil
+}
+
+// loopItem reads an id with its parameters up to a comma.
+func loopItem(s string) (id, rest string, err error) {
+	s = strings.TrimLeft(s, " \t")
+	end := 0
+	for end < len(s) && idByte(s[end]) {
+		end++
+	}
+	id, s = s[:end], strings.TrimLeft(s[end:], " \t")
+	if len(id) > maxLoopID {
+		return "", "", fmt.Errorf("%w: an id of %d bytes, %d at most", ErrHeader, len(id), maxLoopID)
+	}
+	for strings.HasPrefix(s, ";") {
+		if id == "" {
+			return "", "", fmt.Errorf("%w: parameters of no id", ErrHeader)
+		}
+		s = strings.TrimLeft(s[1:], " \t")
+		name := token(s)
+		if name == 0 { // an empty parameter (RFC 9110, 5.6.6)
+			continue
+		}
+		if s = s[name:]; !strings.HasPrefix(s, "=") {
+			return "", "", fmt.Errorf("%w: a parameter of %s has no value", ErrHeader, id)
+		}
+		value := token(s[1:])
+		if strings.HasPrefix(s[1:], `"`) {
+			value = quoted(s[1:])
+		}
+		if value == 0 {
+			return "", "", fmt.Errorf("%w: a parameter of %s has a value that can't be read", ErrHeader, id)
+		}
+		s = strings.TrimLeft(s[1+value:], " \t")
+	}
+	switch {
+	case s == "":
+		return id, "", nil
+	case s[0] == ',':
+		return id, s[1:], nil
+	}
+	return "", "", fmt.Errorf("%w: %q after %q", ErrHeader, s[0], id)
+}
+
+// idByte is what a host, a port, an address in brackets or a pseudonym may hold.
+func idByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("-._~%!$&'()*+:[]", c) >= 0
+}
+
+// token is the length of a token at the start.
+func token(s string) (n int) {
+	for n < len(s) && (s[n] >= 'a' && s[n] <= 'z' || s[n] >= 'A' && s[n] <= 'Z' || s[n] >= '0' && s[n] <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", s[n]) >= 0) {
+		n++
+	}
+	return n
+}
+
+// quoted is the length of a quoted string at the start, 0 if it does not end.
+func quoted(s string) int {
+	for i := 1; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '"':
+			return i + 1
+		case c == '\\':
+			i++
+		case c < ' ' && c != '\t' || c == 0x7f:
+			return 0
+		}
+	}
+	return 0
+}
+
+// Loops reports that a request has passed this node, by ids compared as hosts are, without case.
+func Loops(ids []string, me string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return strings.EqualFold(id, me) })
+}
+
+// Watch finds fills that come back where nothing can be carried along: it knows what a node has asked for, and of whom, and so sees when one
+// that it waits for asks it for the same. Times are ms; what has not ended is forgotten after Keep.
+type Watch struct {
+	Keep float64
+	Most int // outstanding ones, the rest goes unwatched
+
+	out   map[watched]float64
+	swept float64
+	// Back counts fills that came back, Unwatched those asked for past Most.
+	Back, Unwatched int64
+}
+
+type watched struct{ node, key string }
+
+// Asked books that this node asks another for an object.
+func (w *Watch) Asked(now float64, node, key string) {
+	if w.out == nil {
+		w.out = map[watched]float64{}
+	}
+	w.sweep(now)
+	if len(w.out) >= w.Most {
+		w.Unwatched++
+		return
+	}
+	w.out[watched{node, key}] = now
+}
+
+// Ended books that this has ended, however.
+func (w *Watch) Ended(node, key string) { delete(w.out, watched{node, key}) }
+
+// Comes reports that a fill by another node, for an object that this one waits for from there, is one that comes back.
+func (w *Watch) Comes(now float64, node, key string) bool {
+	w.sweep(now)
+	since, known := w.out[watched{node, key}]
+	if known && now-since < w.Keep {
+		w.Back++
+		return true
+	}
+	return false
+}
+
+// sweep forgets what is too old, once in each Keep.
+func (w *Watch) sweep(now float64) {
+	if now-w.swept < w.Keep {
+		return
+	}
+	w.swept = now
+	for k, since := range w.out {
+		if now-since >= w.Keep {
+			delete(w.out, k)
+		}
+	}
+}
