Let a request name the area caches that its fills are asked of first

A planner that shares fills among areas needs a way into the decision module: a set of area caches, as confinement has sets of caches. Event.Above names it; its members come first by the object's rank, then all others, and a set of nobody leads to the origin.

--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -516,9 +516,6 @@
 	}
 	if why != None {
 		c.fair.press(now)
-		if by.move != nil { // a cell that has no budget left for what moves into it answers it late, so to say
-			by.move.pace.Saw(m.millis(now), by.into, true)
-		}
 		return why
 	}
 	if write {
--- a/core/moves/pace.go
+++ b/core/moves/pace.go
@@ -12,7 +12,6 @@
 	lateDoubt = 2.0    // and so many standard errors beside
 	fullPart  = 0.25   // part of what should go over and can't, past which the share stays
 	calmPart  = 0.8    // part of what a cell would bear warm, under which nothing more is moved into or out of it
-	shortPart = 0.25   // part of late answers of the new cell, past which the share stays however the other one answers
 	speedUp   = 0.25   // of the greatest speed, added at each look that finds nothing wrong
 	// speedMost, in shares of a Shift: a router that has waited may catch up.
 	speedMost = 2.0
@@ -111,7 +110,7 @@
 		return p.share
 	case p.harm(now):
 		p.speed = -m.SlewUp() / 2
-	case !p.calm || p.full(now) || p.short():
+	case !p.calm || p.full(now):
 		p.speed = min(p.speed, 0)
 	default:
 		p.speed = min(max(p.speed, 0)+speedUp*m.SlewUp(), m.SlewUp())
@@ -142,10 +141,6 @@
 	return a > b+lateMore+lateDoubt*math.Sqrt(v)
 }
 
-// short reports that the new cell fails many, whether or not the old one does too: what is moved now is filled anew in a tier that can't
-// fill what it has.
-func (p *Pace) short() bool { return p.into.all >= paceFew && p.into.part() > shortPart }
-
 // full reports that the new cell takes too little of what should go over for more to be sent its way.
 func (p *Pace) full(now float64) bool {
 	p.offer.fade(now)
--- a/rules/confine_test.go
+++ b/rules/confine_test.go
@@ -151,3 +151,42 @@
 		}
 	}
 }
+
+// Fills go to the area that a request names, by the object's rank there; to others when none there can take it; and to the origin where the
+// set has nobody.
+func TestFillsGoToTheAreaNamed(t *testing.T) {
+	g := newRig(t, settings(), 2, 4)
+	g.do(Event{Kind: Confine, Set: 50, Names: []string{"p0", "p2"}})
+	ask := func(i, above int) Action {
+		g.now += 10 * ms
+		return g.one(Event{Kind: Request, Call: fmt.Sprint("q", i), Class: "small", Object: fmt.Sprint("o", i), ExpiresIn: 3 * sec, Above: above})
+	}
+	seen := map[string]bool{}
+	for i := range 40 {
+		a := ask(i, 50)
+		seen[a.Source] = true
+		g.do(result(a, 0, Done, 2))
+	}
+	if len(seen) != 2 || !seen["p0"] || !seen["p2"] {
+		t.Errorf("area 50 was asked at %v", seen)
+	}
+	if a := ask(100, -1); a.Source != "o" {
+		t.Errorf("a set of nobody: %s", a.Source)
+	}
+	if a := ask(101, 0); a.Source == "" || a.Source == "o" {
+		t.Errorf("no set: %s", a.Source)
+	}
+	for i := 200; i < 300; i++ { // both of the area fail every fill
+		a := ask(i, 50)
+		leg := 0
+		for ; a.Kind == Get && (a.Source == "p0" || a.Source == "p2"); leg++ {
+			a = g.one(result(a, leg, Failed, 7))
+		}
+		if a.Kind == Get {
+			g.do(result(a, leg, Done, 2))
+		}
+	}
+	if a := ask(400, 50); a.Source != "p1" && a.Source != "p3" {
+		t.Errorf("with the area shut: %s", a.Source)
+	}
+}
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -116,15 +116,24 @@
 	if shut && len(r.parents) > 0 {
 		how |= HeldOnly
 	}
-	closed := len(r.parents) == 0 || len(q.sources) > 0
-	r.upRank.start(q.Object)
-	for n := r.upRank.next(); n != nil; n = r.upRank.next() {
-		if n.gate(q.account).open(r.now) || slices.Contains(q.sources, n) {
-			continue
+	first := r.upRank
+	if q.Above != 0 {
+		first = r.poolOf(q.Above).rank
+	}
+	closed := len(first.nodes) == 0 || len(q.sources) > 0
+	for rank := first; ; rank = r.upRank {
+		rank.start(q.Object)
+		for n := rank.next(); n != nil; n = rank.next() {
+			if n.gate(q.account).open(r.now) || slices.Contains(q.sources, n) {
+				continue
+			}
+			closed = true
+			if r.affordable(n, r.sendMean[q.class]) && r.room(q, n) {
+				return n, how
+			}
 		}
-		closed = true
-		if r.affordable(n, r.sendMean[q.class]) && r.room(q, n) {
-			return n, how
+		if rank == r.upRank || len(first.nodes) == 0 {
+			break
 		}
 	}
 	// Departure: where none but open, full or cold ones are left, the origin takes fills, within its limit.
--- a/rules/state.go
+++ b/rules/state.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// pool is a set of caches from which requests are picked.
+// pool is a set of caches, or of area caches, from which requests are picked.
 type pool struct {
 	names       []string // nil: all of the zone
 	account     int
@@ -126,7 +126,7 @@
 		if p.caches = r.caches; p.names != nil {
 			p.caches = nil
 			for _, name := range p.names {
-				if n := r.nodes[name]; n != nil && n.usable && n.role == roleCache {
+				if n := r.nodes[name]; n != nil && n.usable && n.role != roleOrigin {
 					p.caches = append(p.caches, n)
 				}
 			}
--- a/rules/types.go
+++ b/rules/types.go
@@ -145,6 +145,9 @@
 	// Set names the caches that a request may go to, Spill those that it may go to when none of them can take it.
 	// 0 stands for all caches of the zone, in Spill for none. A set that no Confine named holds no cache.
 	Set, Spill int
+	// Above names the set of area caches that fills of a request are asked of first, all others only when none of them can
+	// take it. 0: all alike. A set that no Confine named holds none, and then the origin is asked.
+	Above int
 	// Account is who pays for what a set's requests take of servers that all share (parents, the origin): breakers
 	// are kept for each, and Share of such a server's limit, 0 to 1, is an account's own whenever it wants it.
 	// Account 0 is that of unconfined requests, which have no share.
