Shape in the features file: routers take it on SIGHUP, spanctl shows and plans it

A section `shape` puts core/hierarchy's plan in force at a router, with cells and without, off by default; `spanctl check` names a circle, `spanctl shape show`, `diff` and `plan` show what it does, the last with lost and cold areas.

Tables leave figures blank that an arm has not, in place of NaN.

--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -23,6 +23,7 @@
 
 type cli struct {
 	Check checkCmd `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
+	Shape shapeCmd `cmd:"" help:"Who fills from whom: show, diff, plan."`
 	Stage stageCmd `cmd:"" help:"Releases let into cells ring by ring: start, status, stop."`
 	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan; and tenants that move between them: moves, move, empty, hold, resume, back, settle."`
 }
@@ -62,6 +63,9 @@
 	if s := f.Release(); s != nil {
 		fmt.Fprintf(out, "stage: on, %s version %d, %d rings\n", s.Name, s.Version, len(s.Rings))
 	}
+	if s := f.Shape.Shape; f.Shape.Enabled {
+		fmt.Fprintf(out, "shape: on, version %d, %d depots, %d areas, %d ways\n", s.Version, len(s.Depots), len(s.Areas), len(s.Ways))
+	}
 	return nil
 }
 
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -81,22 +81,27 @@
 }
 
 // feature loads the features file against the settings in force; nil without a file.
-func feature(file string, c *config.Config) (*features.File, *cells.Assignment, error) {
+func feature(file string, c *config.Config) (*features.File, router.Frame, error) {
+	none := router.Frame{}
 	if file == "" {
-		return nil, nil, nil
+		return nil, none, nil
 	}
 	f, err := features.Load(file)
 	if err != nil {
-		return nil, nil, err
+		return nil, none, err
 	}
 	if err := f.Fits(&c.Settings); err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", file, err)
+		return nil, none, fmt.Errorf("%s: %w", file, err)
 	}
 	a, err := f.Assignment()
 	if err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", file, err)
+		return nil, none, fmt.Errorf("%s: %w", file, err)
 	}
-	return f, a, nil
+	g, err := f.Graph()
+	if err != nil {
+		return nil, none, fmt.Errorf("%s: %w", file, err)
+	}
+	return f, router.Frame{Cells: a, Moves: f.Document(), Release: f.Release(), Shape: g}, nil
 }
 
 // reload brings the configuration for a SIGHUP.
@@ -104,7 +109,7 @@
 
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
 func run(c *config.Config, again reload, file string) error {
-	on, assigned, err := feature(file, c)
+	on, frame, err := feature(file, c)
 	if err != nil {
 		return err
 	}
@@ -136,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	if err := core.Confine(assigned, on.Document(), on.Release()); err != nil {
+	if err := core.Put(frame); err != nil {
 		return fmt.Errorf("%s: %w", file, err)
 	}
 	apply := func(n router.Notice) {
@@ -235,7 +240,7 @@
 	if file == "" {
 		return old
 	}
-	on, assigned, err := feature(file, c)
+	on, frame, err := feature(file, c)
 	if err == nil {
 		err = on.Follows(now.Now(), old)
 	}
@@ -243,15 +248,18 @@
 		log.Error().Err(err).Msg("new features can't be used")
 		return old
 	}
-	if err := core.Confine(assigned, on.Document(), on.Release()); err != nil { // it was checked: this can't be
+	if err := core.Put(frame); err != nil { // it was checked: this can't be
 		log.Error().Err(err).Msg("new features can't be used")
 	}
-	version := int64(0)
-	if assigned != nil {
-		version = assigned.Version()
+	version, shape := int64(0), int64(0)
+	if frame.Cells != nil {
+		version = frame.Cells.Version()
+	}
+	if frame.Shape != nil {
+		shape = frame.Shape.Shape().Version
 	}
 	_, moving := core.Moves()
-	log.Info().Int64("cells", version).Int64("moves", moving).Str("release", releaseName(on)).Msg("new features")
+	log.Info().Int64("cells", version).Int64("shape", shape).Int64("moves", moving).Str("release", releaseName(on)).Msg("new features")
 	return on
 }
 
--- a/core/cells/above.go
+++ b/core/cells/above.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -50,6 +51,9 @@
 
 // Shape puts a shape of the hierarchy in force, or with nil none. It applies with and without an assignment to cells.
 func (m *Module) Shape(now int64, g *hierarchy.Graph) {
+	if g != nil && m.up.graph != nil && reflect.DeepEqual(g.Shape(), m.up.graph.Shape()) {
+		return // what fills have told of its areas stays
+	}
 	for i := range m.up.names {
 		m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: firstAreaSet + i}})
 	}
--- a/core/hierarchy/shape.go
+++ b/core/hierarchy/shape.go
@@ -12,9 +12,9 @@
 type Shape struct {
 	Version int64   `json:"version" jsonschema:"minimum=0" jsonschema_description:"number of this document; a later one is greater"`
 	Head    Head    `json:"head"`
-	Areas   []Area  `json:"areas"`
-	Depots  []Depot `json:"depots"`
-	Ways    []Way   `json:"ways"`
+	Areas   []Area  `json:"areas,omitempty"`
+	Depots  []Depot `json:"depots,omitempty"`
+	Ways    []Way   `json:"ways,omitempty"`
 }
 
 // Head is the head office. All ways end there.
--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -75,4 +75,22 @@
     least: 2,  // smallest harm that matters, as a factor on the odds of a late, failed or badly filled answer
     margin: 1.1,  // a factor that is no harm
   },
+  // Who fills from whom: docs/hierarchy.md. Left out or off, fills go to all area caches alike, by hash.
+  shape: {
+    enabled: false,
+    version: 1,  // greater with every change of this section
+    head: { name: 'head-office', kbPerS: 60000 },  // what all fills together may ask of it
+    areas: [
+      { name: 'west', servers: ['area-w'], miss: 0.35 },  // how the names of its servers begin; part that it asks for in turn
+      { name: 'east', servers: ['area-e'] },
+    ],
+    depots: [{ name: 'depot-1', kbPerS: 9000 }],  // as the list of servers names its zone; what it fills at its peak
+    ways: [
+      { from: 'depot-1', to: 'west', kbPerS: 12000, ms: 9 },  // what fits on it; there and back
+      { from: 'depot-1', to: 'east', kbPerS: 4000, ms: 30 },
+      { from: 'depot-1', to: 'head-office', kbPerS: 1000, ms: 45 },
+      { from: 'west', to: 'head-office', kbPerS: 60000, ms: 20 },
+      { from: 'east', to: 'head-office', kbPerS: 60000, ms: 20 },
+    ],
+  },
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-jsonnet"
 
 	"spantack/core/cells"
+	"spantack/core/hierarchy"
 	"spantack/core/moves"
 	"spantack/core/stages"
 	"spantack/rules"
@@ -29,6 +30,7 @@
 	Cells Cells `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
 	Moves Moves `json:"moves,omitempty" jsonschema_description:"tenants on their way from cell to cell; docs/moves.md"`
 	Stage Stage `json:"stage,omitempty" jsonschema_description:"a release let into cells ring by ring; docs/stages.md"`
+	Shape Shape `json:"shape,omitempty" jsonschema_description:"who fills from whom; docs/hierarchy.md"`
 }
 
 // Cells is the feature of that name.
@@ -49,6 +51,24 @@
 	stages.Stage
 }
 
+// Shape is the feature of that name.
+type Shape struct {
+	Enabled bool `json:"enabled"`
+	hierarchy.Shape
+}
+
+// Graph is the shape worked out; nil while the feature is off.
+func (f *File) Graph() (*hierarchy.Graph, error) {
+	if f == nil || !f.Shape.Enabled {
+		return nil, nil
+	}
+	g, err := hierarchy.Compile(&f.Shape.Shape)
+	if err != nil {
+		return nil, fmt.Errorf("shape.%w", err)
+	}
+	return g, nil
+}
+
 // Release is the stage in force; nil while the feature is off.
 func (f *File) Release() *stages.Stage {
 	if f == nil || !f.Stage.Enabled {
@@ -115,6 +135,9 @@
 
 // check holds the features against themselves and each other.
 func (f *File) check() error {
+	if _, err := f.Graph(); err != nil {
+		return err
+	}
 	spec, doc := f.Spec(), f.Document()
 	if spec != nil {
 		if err := spec.Check(); err != nil {
@@ -147,6 +170,11 @@
 	if a, b := before.Release(), f.Release(); a != nil && b != nil && a.Name == b.Name && b.Version <= a.Version && !reflect.DeepEqual(a, b) {
 		return fmt.Errorf("stage.version: %d is not after %d, the one in force", b.Version, a.Version)
 	}
+	if before != nil && before.Shape.Enabled && f.Shape.Enabled {
+		if a, b := &before.Shape.Shape, &f.Shape.Shape; b.Version <= a.Version && !reflect.DeepEqual(a, b) {
+			return fmt.Errorf("shape.version: %d is not after %d, the one in force", b.Version, a.Version)
+		}
+	}
 	was, next := before.Document(), f.Document()
 	switch {
 	case was == nil && next == nil:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"spantack/core/cells"
+	"spantack/core/hierarchy"
 	"spantack/core/moves"
 	"spantack/core/stages"
 	"spantack/internal/clock"
@@ -144,15 +145,25 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
-// Confine puts an assignment of cells, and a document of moves and a release that fit it, in force before it returns, or with nil none. No
-// request sees the one without the others. Its error is that of the release, which is then not in force.
-func (r *Router) Confine(next *cells.Assignment, doc *moves.Document, release *stages.Stage) error {
+// Frame is what a features file sets: an assignment of cells, a document of moves and a release that fit it, and a shape of the hierarchy.
+// nil: none.
+type Frame struct {
+	Cells   *cells.Assignment
+	Moves   *moves.Document
+	Release *stages.Stage
+	Shape   *hierarchy.Graph
+}
+
+// Put puts a frame in force before it returns. No request sees a part without the others. Its error is that of the release, which is then
+// not in force.
+func (r *Router) Put(f Frame) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.last = max(r.last, clock.Micros(r.clock.Now()))
-	r.rules.Confine(r.last, next)
-	r.rules.Move(r.last, doc)
-	return r.rules.Stage(r.last, release)
+	r.rules.Shape(r.last, f.Shape)
+	r.rules.Confine(r.last, f.Cells)
+	r.rules.Move(r.last, f.Moves)
+	return r.rules.Stage(r.last, f.Release)
 }
 
 // Turn lets the time of moves and of a release pass while no request comes.
--- a/lab/experiments/shapes.jsonnet
+++ b/lab/experiments/shapes.jsonnet
@@ -6,6 +6,8 @@
     small: { shapes: 200, areas: 24, depots: 8, changes: 6, fills: 20 },
     full: { shapes: 1000, areas: 24, depots: 8, changes: 6, fills: 100 },
   },
+  arms: { plain: {}, asker: {}, path: {} },  // the guards: nothing; by who asks alone; by a path carried along
+  days: { changes: {} },
   claims: [
     { name: 'shapes with circles taken', of: 'path/changes/plantedTaken', most: 0 },
     { name: 'circles named that are none', of: 'path/changes/misnamed', most: 0 },
--- a/lab/report.go
+++ b/lab/report.go
@@ -55,6 +55,9 @@
 }
 
 func (i Interval) String() string {
+	if math.IsNaN(i.Mean) { // a figure that this arm or day has not
+		return ""
+	}
 	if i.Half == 0 {
 		return fmt.Sprintf("%.4g", i.Mean)
 	}
