Show a changing shape on loopback; an object's place goes by its area's name

Two routers, three area caches, a planted circle, a later shape and a cut: the test found that the hash told areas apart by their number in the document, so that leaving one out moved objects of others. Names tell them apart now: with one of two areas replaced a third of the other's objects move, as rendezvous hashing has it. After the cut of an area cache that stays listed at most a tenth of objects are still asked of it (trials); every request has one right answer. The stand-in tier takes several area caches, and a cut.

--- a/core/hierarchy/shape.go
+++ b/core/hierarchy/shape.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Shape says who may fill from whom. It is a document: every router that has the same one knows the same shape.
@@ -80,6 +82,7 @@
 	order Order
 	level []int // of each node: the head office's is 0, any other's one more than the greatest of those that it fills from
 	ways  map[[2]int]int
+	salt  []uint64 // of each area's name, then the head office's
 }
 
 // Compile reports the first thing that can't be used, or returns the graph. Every depot must have a way to the head office.
@@ -160,6 +163,10 @@
 			return nil, fmt.Errorf("%s: %w: %w", at, ErrShape, &circleError{g.names(circle)})
 		}
 	}
+	for _, a := range s.Areas {
+		g.salt = append(g.salt, xxhash.Sum64String(a.Name))
+	}
+	g.salt = append(g.salt, xxhash.Sum64String(s.Head.Name))
 	g.levels()
 	for i, d := range s.Depots {
 		if g.level[i] < 0 {
--- a/core/hierarchy/share.go
+++ b/core/hierarchy/share.go
@@ -228,6 +228,7 @@
 
 // Route is how one depot's fills go.
 type Route struct {
+	Salt  []uint64  // by which places are told apart: of each area's name, so that no other area's coming or going changes them
 	Home  []float64 // part of all objects that has its place in each area: the same at all depots
 	Stay  []float64 // and of those, the part that this depot asks for there
 	Stray []float64 // parts of the rest by area, the last straight to the head office; what is missing to 1 has no room
@@ -240,7 +241,7 @@
 	if !known || i >= len(s.Graph.shape.Depots) {
 		return Route{Short: 1}
 	}
-	r := Route{Home: slices.Clone(s.Problem.Home), Stay: make([]float64, len(s.Problem.Home)), Stray: make([]float64, len(s.Problem.Home)+1)}
+	r := Route{Salt: s.Graph.salt, Home: slices.Clone(s.Problem.Home), Stay: make([]float64, len(s.Problem.Home)), Stray: make([]float64, len(s.Problem.Home)+1)}
 	wants, away := s.Problem.Wants[i], s.Plan.Refused[i]+s.Plan.Direct[i]
 	for a, home := range r.Home {
 		if all := wants * home; all > 0 {
@@ -279,7 +280,7 @@
 // Pick is where the fill of an object goes by the hash of its name: an area's place, the number of areas for the head office, or -1 where
 // there is no room for it. An object always goes to its place or always elsewhere, as long as the plan stays.
 func (r *Route) Pick(hash uint64) int {
-	home := Pick(hash, r.Home)
+	home := pick(hash, r.Home, r.Salt)
 	if home >= 0 && unit53(hash, 0x5851f42d4c957f2d) < r.Stay[home] {
 		return home
 	}
@@ -291,7 +292,7 @@
 	if u >= room {
 		return -1
 	}
-	return Pick(hash^0x2545f4914f6cdd1d, r.Stray)
+	return pick(hash^0x2545f4914f6cdd1d, r.Stray, r.Salt)
 }
 
 // unit53 is a number from 0 to 1 that a hash and a salt give.
@@ -302,15 +303,15 @@
 	return (float64((h^h>>31)>>11) + 0.5) / (1 << 53)
 }
 
-// Pick is the place for an object by the hash of its name: each place gets its part of all objects, and when parts change no more objects
+// pick is the place for an object by the hash of its name: each place gets its part of all objects, and when parts change no more objects
 // go elsewhere than must (weighted rendezvous hashing: Schindelhauer and Schomaker, 2005). -1: there is no part.
-func Pick(hash uint64, parts []float64) int {
+func pick(hash uint64, parts []float64, salt []uint64) int {
 	best, place := math.Inf(1), -1
 	for i, part := range parts {
 		if part <= 0 {
 			continue
 		}
-		if score := -math.Log(unit53(hash, uint64(i+1)*0x9e3779b97f4a7c15)) / part; score < best {
+		if score := -math.Log(unit53(hash, salt[i])) / part; score < best {
 			best, place = score, i
 		}
 	}
--- a/core/hierarchy/share_test.go
+++ b/core/hierarchy/share_test.go
@@ -84,7 +84,7 @@
 
 // A route sends each object to one place, in the parts that the plan says.
 func TestRoutePicks(t *testing.T) {
-	r := Route{Home: []float64{0.6, 0.4}, Stay: []float64{1, 0.5}, Stray: []float64{0.25, 0, 0.5}, Short: 0.05}
+	r := Route{Salt: []uint64{1, 2, 3}, Home: []float64{0.6, 0.4}, Stay: []float64{1, 0.5}, Stray: []float64{0.25, 0, 0.5}, Short: 0.05}
 	want := map[int]float64{0: 0.6 + 0.05, 1: 0.2, 2: 0.1, -1: 0.05}
 	rng := rand.New(rand.NewPCG(5, 5))
 	const n = 60_000
@@ -155,13 +155,14 @@
 
 // Each place gets its part of all objects, and a place that loses a part gives up objects while no other object goes elsewhere.
 func TestPick(t *testing.T) {
+	salts := []uint64{11, 22, 33, 44}
 	before, after := []float64{0.5, 0, 0.3, 0.2}, []float64{0.5, 0, 0.15, 0.2}
 	const n = 40_000
 	var got [4]int
 	rng := rand.New(rand.NewPCG(1, 4))
 	for range n {
 		h := rng.Uint64()
-		a, b := Pick(h, before), Pick(h, after)
+		a, b := pick(h, before, salts), pick(h, after, salts)
 		got[a]++
 		if a != b && a != 2 {
 			t.Fatalf("from %d to %d", a, b)
@@ -172,19 +173,20 @@
 			t.Errorf("place %d: %d of %d, its part is %v", i, got[i], n, part)
 		}
 	}
-	if Pick(1, nil) != -1 || Pick(1, []float64{0, 0}) != -1 {
+	if pick(1, nil, nil) != -1 || pick(1, []float64{0, 0}, salts) != -1 {
 		t.Error("no part")
 	}
 }
 
 func BenchmarkPick(b *testing.B) {
-	parts := make([]float64, 41)
+	parts, salt := make([]float64, 41), make([]uint64, 41)
 	for i := range parts {
+		salt[i] = uint64(i) * 0x9e3779b97f4a7c15
 		parts[i] = 1.0 / 41
 	}
 	h := uint64(1)
 	for b.Loop() {
 		h = h*6364136223846793005 + 1
-		Pick(h, parts)
+		pick(h, parts, salt)
 	}
 }
--- a/lab/local/local.go
+++ b/lab/local/local.go
@@ -26,6 +26,7 @@
 type Options struct {
 	Routers  int
 	Caches   int
+	Areas    int    // area caches; 0: one
 	Features string // text of a features file; empty: none
 	Script   func(tier.Get) tier.Fault
 	Delay    time.Duration // of a cache; above it three times as much
@@ -44,6 +45,7 @@
 	Ledger  *tier.Ledger
 	Board   *board.Board
 	Caches  []*tier.Server
+	Areas   []*tier.Server
 	Routers []*Router
 
 	dir     string
@@ -96,10 +98,15 @@
 	if d.Board, err = board.Listen(); err != nil {
 		return d, err
 	}
-	for _, kind := range []byte{kindOrigin, kindArea} {
-		if _, err = d.add(kind, "", 0); err != nil {
+	if _, err = d.add(kindOrigin, "", 0); err != nil {
+		return d, err
+	}
+	for range max(opt.Areas, 1) {
+		s, err := d.add(kindArea, "", 0)
+		if err != nil {
 			return d, err
 		}
+		d.Areas = append(d.Areas, s)
 	}
 	for range opt.Caches {
 		s, err := d.add(kindCache, "", 0)
@@ -189,6 +196,18 @@
 	return nil
 }
 
+// AreaName is the name that an area cache will have, before it is there.
+func AreaName(i int) string { return fmt.Sprintf("s-%08x", uint32(2+i)*2654435761) }
+
+// Cut ends an area cache as a power cut does: nothing is listed, its connections break, and fills that name it fail.
+func (d *Deployment) Cut(area int) {
+	s := d.Areas[area]
+	d.mu.Lock()
+	delete(d.servers, s.Name())
+	d.mu.Unlock()
+	s.Close()
+}
+
 func (d *Deployment) server(id string) *tier.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lab/local/local_test.go
+++ b/lab/local/local_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"spantack/core/cells"
+	"spantack/core/hierarchy"
 	"spantack/core/moves"
 	"spantack/core/stages"
 	"spantack/internal/features"
@@ -468,3 +470,106 @@
 		t.Errorf("%d attempts seen", seen)
 	}
 }
+
+// Two routers, three area caches, and a shape that changes by SIGHUP: an object's fills are asked of one area at both routers, a planted
+// circle is refused and changes nothing, a later shape moves what it must, and when an area's cache is cut off, unlisted, fills go
+// elsewhere. Every request has one right answer.
+func TestShapeInService(t *testing.T) {
+	shape := func(version int64, areas ...int) *hierarchy.Shape {
+		s := &hierarchy.Shape{Version: version, Head: hierarchy.Head{Name: "head", KbPerS: 1e6}, Depots: []hierarchy.Depot{{Name: "depot-00", KbPerS: 1000}}}
+		for _, a := range areas {
+			name := fmt.Sprint("area-", a)
+			s.Areas = append(s.Areas, hierarchy.Area{Name: name, Servers: []string{AreaName(a)}})
+			s.Ways = append(s.Ways, hierarchy.Way{From: "depot-00", To: name, KbPerS: 1e6, Ms: 5}, hierarchy.Way{From: name, To: "head", KbPerS: 1e6, Ms: 5})
+		}
+		return s
+	}
+	file := func(s *hierarchy.Shape) string {
+		text, err := json.Marshal(map[string]any{"shape": features.Shape{Enabled: true, Shape: *s}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	d := start(t, Options{Routers: 2, Caches: 4, Areas: 3, Delay: time.Millisecond, Features: file(shape(1, 0, 1))})
+	tell := func(s *hierarchy.Shape, says string) {
+		if err := d.WriteFeatures(file(s)); err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range d.Routers {
+			if err := r.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			waitLog(t, r, says)
+		}
+	}
+	run := func(seed uint64, objects int) map[string]map[string]bool { // of each object, the sources that its fills named
+		from := len(d.Ledger.Gets())
+		rep, err := d.Run(t.Context(), Load{Seed: seed, Requests: 1500, Every: time.Millisecond, Conns: 2, Families: 3, Objects: objects})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if all := rep.All(); all.Wrong+all.Lost > 0 || all.Served < 1485 {
+			t.Errorf("seed %d: %+v", seed, all)
+		}
+		asked := map[string]map[string]bool{}
+		for _, g := range d.Ledger.Gets()[from:] {
+			if g.Class == "stock-report" || g.Next == "" {
+				continue
+			}
+			if asked[g.Object] == nil {
+				asked[g.Object] = map[string]bool{}
+			}
+			asked[g.Object][g.Next] = true
+		}
+		return asked
+	}
+	place := func(asked map[string]map[string]bool, areas ...int) map[string]string {
+		at := map[string]string{}
+		for object, sources := range asked {
+			for source := range sources {
+				if len(sources) != 1 || !slices.ContainsFunc(areas, func(a int) bool { return AreaName(a) == source }) {
+					t.Errorf("fills of %s are asked of %v", object, sources)
+				}
+				at[object] = source
+			}
+		}
+		return at
+	}
+	before := place(run(1, 200), 0, 1)
+	loop := shape(2, 0, 1)
+	loop.Ways = append(loop.Ways, hierarchy.Way{From: "area-0", To: "area-1", KbPerS: 1}, hierarchy.Way{From: "area-1", To: "area-0", KbPerS: 1})
+	tell(loop, "a circle: area-1 > area-0 > area-1")
+	same := place(run(2, 200), 0, 1)
+	tell(shape(3, 1, 2), `"shape":3`)
+	after := place(run(3, 200), 1, 2)
+	moved, all := 0, 0
+	for object, at := range before {
+		if now, known := same[object]; known && now != at {
+			t.Errorf("%s went from %s to %s by a shape that was refused", object, at, now)
+		}
+		if now, known := after[object]; known && at == AreaName(1) {
+			if all++; now != at {
+				moved++
+			}
+		}
+	}
+	if all < 50 || len(same) < 100 || moved > all*45/100 { // a third goes to the new area, as the hash has it
+		t.Errorf("%d and %d objects seen; of those whose area stayed %d of %d went elsewhere", all, len(same), moved, all)
+	}
+	d.Cut(2)
+	run(4, 400) // finds out
+	left := run(5, 800)
+	astray := 0
+	for _, sources := range left {
+		if sources[AreaName(2)] {
+			astray++
+		}
+	}
+	if astray > len(left)/10 || len(left) < 300 { // trials
+		t.Errorf("after the cut %d of %d objects were asked of what is not there", astray, len(left))
+	}
+	if o := d.Ledger.Overlaps(); len(o) > 0 {
+		t.Errorf("two attempts out at once: %v", o)
+	}
+}
--- a/standin/tier/tier.go
+++ b/standin/tier/tier.go
@@ -289,9 +289,10 @@
 	}
 	asked := time.Now()
 	var made time.Time
-	note, held := "TCP_HIT", false
+	note, held, dead := "TCP_HIT", false, false
 	if made, held = s.holds(g); !held && fault == None && g.Next != "" && s.opt.Source != nil {
-		if src := s.opt.Source(g.Next); src != nil {
+		src := s.opt.Source(g.Next)
+		if dead = src == nil; !dead {
 			wait += src.opt.Delay
 			var deep bool
 			made, held, deep = src.fill(g)
@@ -315,6 +316,8 @@
 		return [][]byte{id, []byte("BUSY"), []byte("-")}, None
 	case fault != None:
 		return nil, fault
+	case dead: // its source is not there
+		return [][]byte{id, []byte("ERR"), []byte("n=PEER_DEAD")}, None
 	case !held:
 		return [][]byte{id, []byte("MISS"), []byte("-")}, None
 	}
