--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -637,8 +637,8 @@
 			if o, known := m.open[a.Call]; known {
 				m.cells[o.cell].crowded(now)
 				m.unserved(now, &o, false)
-				m.over(a.Call)
 			}
+			m.over(a.Call)
 		case rules.Fail:
 			if o, known := m.open[a.Call]; known {
 				m.unserved(now, &o, true)
@@ -649,6 +649,7 @@
 }
 
 func (m *Module) over(call string) {
+	delete(m.up.asked, call)
 	if o, known := m.open[call]; known {
 		m.cells[o.cell].open--
 		delete(m.open, call)
--- /dev/null
+++ b/lab/experiments/shield-laws.jsonnet
@@ -0,0 +1,19 @@
+// Limits of routers on what is out at the head office: laws compared where it answers well, where 70% of it is lost for 30 s, and where half of
+// the routers die. A fill takes 200 ms at the knee. Clients make three tries of 1.5 s.
+local trial = { routers: 64, rateS: 500, capS: 640, knee: 128, slows: 0.5, allowS: 1.5, tries: 3, reports: 0.05, warmS: 10, dayS: 100, reserve: 0.1 };
+{
+  title: 'Laws for a limit at the head office',
+  shield: { small: trial { routers: 16, rateS: 125, capS: 160, knee: 32 }, full: trial },
+  arms: { none: { law: 'none' }, fixed: { law: 'fixed', burst: 1 }, aimd: { law: 'aimd', burst: 3 }, gradient: { law: 'gradient', burst: 3 }, delay: { law: 'delay', burst: 3 } },
+  days: { calm: {}, brownout: { low: 0.3, lowFromS: 30, lowForS: 30 }, deaths: { deadPart: 0.5, deadAtS: 30 } },
+  claims: [
+    { name: 'served on a calm day', of: 'gradient/calm/served', least: 0.99 },
+    { name: 'end of a brownout without a limit', of: 'none/brownout/end', most: 0.5 },
+    { name: 'seconds to come back', of: 'gradient/brownout/backS', most: 5 },
+    { name: 'seconds to settle', of: 'gradient/brownout/settleS', most: 5 },
+    { name: 'most out', of: 'gradient/brownout/outMost', most: 3 },
+    { name: 'served with half of the routers', of: 'gradient/deaths/end', least: 0.98 },
+  ],
+  table: ['served', 'before', 'low', 'end', 'sentEach', 'turned', 'reports', 'outMost', 'overS', 'settleS', 'backS'],
+  chart: { figure: 'served', title: 'Fills served in time', arms: ['none', 'fixed', 'aimd', 'gradient', 'delay'], days: ['calm', 'brownout', 'deaths'] },
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -32,6 +32,7 @@
 	Title  string                     `json:"title"`
 	Sizes  map[string]emulator.Config `json:"sizes"`
 	Shapes map[string]emulator.Shapes `json:"shapes,omitempty"` // by size: a trial of shapes in place of a world
+	Shield map[string]emulator.Shield `json:"shield,omitempty"` // by size: a trial of limits at the head office
 	Watch  int                        `json:"watch"`            // the tenant that makes trouble on the other days
 	Arms   map[string]Arm             `json:"arms"`
 	Days   map[string]Day             `json:"days"`
@@ -46,6 +47,8 @@
 	Scheme string                    `json:"scheme,omitempty"`
 	Width  int                       `json:"width,omitempty"`
 	Limit  float64                   `json:"limit,omitempty"`
+	Law    string                    `json:"law,omitempty"`   // of a trial of limits
+	Burst  float64                   `json:"burst,omitempty"` // of its limits
 	Shape  string                    `json:"shape,omitempty"` // style of the hierarchy's shape; none: all area caches alike
 	Trip   map[string]*emulator.Trip `json:"trip,omitempty"`  // by size
 }
@@ -76,6 +79,12 @@
 	Poison *emulator.Poison `json:"poison,omitempty"`
 	Faults []emulator.Fault `json:"faults,omitempty"`
 	SkewMs float64          `json:"skewMs,omitempty"`
+	// Low is what is left of the head office from LowFromS on for LowForS, and DeadPart of the routers die at DeadAtS, in a trial of limits.
+	Low      float64 `json:"low,omitempty"`
+	LowFromS float64 `json:"lowFromS,omitempty"`
+	LowForS  float64 `json:"lowForS,omitempty"`
+	DeadPart float64 `json:"deadPart,omitempty"`
+	DeadAtS  float64 `json:"deadAtS,omitempty"`
 	// Release is a new version; Worlds plays the day so often, each time with a seed of its own, and takes means.
 	Release *emulator.Release `json:"release,omitempty"`
 	Worlds  Count             `json:"worlds,omitempty"`
@@ -288,6 +297,9 @@
 	if e.Shapes != nil {
 		return e.shapes(size, seed, tick)
 	}
+	if e.Shield != nil {
+		return e.shields(size, seed, tick)
+	}
 	var runs []Run
 	for _, arm := range sorted(e.Arms) {
 		for _, day := range sorted(e.Days) {
--- a/lab/shapes.go
+++ b/lab/shapes.go
@@ -1,6 +1,13 @@
 package lab
 
-import "fmt"
+import (
+	"fmt"
+	"runtime"
+
+	"golang.org/x/sync/errgroup"
+
+	"spantack/emulator"
+)
 
 // shapes plays a trial of shapes: one run for each guard against circles.
 func (e *Experiment) shapes(size string, seed uint64, tick func(done, all int)) (*Outcome, error) {
@@ -26,3 +33,42 @@
 	}
 	return e.outcome(size, seed, runs)
 }
+
+// shields plays a trial of limits: each arm on each day.
+func (e *Experiment) shields(size string, seed uint64, tick func(done, all int)) (*Outcome, error) {
+	trial, known := e.Shield[size]
+	if !known {
+		return nil, fmt.Errorf("size %q: there is none", size)
+	}
+	var runs []Run
+	for _, arm := range sorted(e.Arms) {
+		for _, day := range sorted(e.Days) {
+			runs = append(runs, Run{Arm: arm, Day: day})
+		}
+	}
+	results := make([]*emulator.ShieldResult, len(runs))
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range runs {
+		group.Go(func() (err error) {
+			t, arm, day := trial, e.Arms[runs[i].Arm], e.Days[runs[i].Day]
+			t.Law, t.Burst = arm.Law, arm.Burst
+			t.LowPart, t.LowFromS, t.LowForS, t.DeadPart, t.DeadAtS = day.Low, day.LowFromS, day.LowForS, day.DeadPart, day.DeadAtS
+			results[i], err = t.Run(seed)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i, r := range results {
+		runs[i].Figures = map[string]float64{"wanted": float64(r.Wanted), "served": round(float64(r.Served) / float64(max(r.Wanted, 1))),
+			"sentEach": round(float64(r.Sent) / float64(max(r.Wanted, 1))), "turned": round(float64(r.Turned) / float64(max(r.Wanted, 1))),
+			"reports": round(float64(r.ReportsOK) / float64(max(r.Reports, 1))), "outMost": round(r.OutMost), "overS": round(r.OverS), "settleS": round(r.SettleS),
+			"backS": round(r.BackS), "before": round(r.Before), "low": round(r.Low), "end": round(r.End)}
+	}
+	if tick != nil {
+		tick(len(runs), len(runs))
+	}
+	return e.outcome(size, seed, runs)
+}
