--- a/emulator/config.go
+++ b/emulator/config.go
@@ -105,12 +105,12 @@
 
 // Fault is something that happens to machines.
 type Fault struct {
-	Kind  string  `json:"kind"`  // "router", "cache", "depot", "deploy", "parent" or "hub"
+	Kind  string  `json:"kind"`  // "router", "cache", "depot", "deploy", "parent", "hub" or "brownout"
 	Depot int     `json:"depot"` // -1: in every one
 	Which int     `json:"which"`
 	AtS   float64 `json:"atS"`
 	ForS  float64 `json:"forS"` // how long it is away; of a deploy, how long that takes in all
-	Part  float64 `json:"part"` // of a deploy: the part of the caches replaced
+	Part  float64 `json:"part"` // of a deploy: the part of the caches replaced; of a brownout: what is left of the head office
 }
 
 // everywhere spells out faults that happen in every depot.
@@ -158,6 +158,11 @@
 	if r := c.Release; r != nil && (!(r.FromS >= 0) || !(r.Part >= 0 && r.Part <= 1) || !(r.Harm >= 0 && r.Harm <= 1) || c.Cells == nil) {
 		return errors.New("release: a time, parts of 0 to 1, and cells")
 	}
+	for i, f := range c.Faults {
+		if f.Kind == "brownout" && !(f.Part > 0 && f.Part <= 1) {
+			return fmt.Errorf("faults[%d].part: %v is not above 0 to 1", i, f.Part)
+		}
+	}
 	if r := c.Release; r != nil && r.Stage != nil && r.Stage.Renews != r.Renews {
 		return errors.New("release.renews: its stage says otherwise")
 	}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -1420,6 +1420,17 @@
 		}
 	case "deploy":
 		w.deploy(f, e)
+	case "brownout":
+		o := &w.links[w.servers[w.origin].link]
+		o.advance(w.now)
+		if e.x == 1 {
+			o.cap /= f.Part
+		} else {
+			o.cap *= f.Part
+			w.push(event{at: w.now + away, kind: evFault, id: e.id, x: 1})
+		}
+		w.links[w.servers[w.origin].link].due = 0 // what was to come comes at another time
+		w.arm(w.servers[w.origin].link)
 	}
 }
 
