--- a/core/hierarchy/share.go
+++ b/core/hierarchy/share.go
@@ -38,7 +38,9 @@
 // Plan shares the depots' fills out under what each area bears now; areas that are not named bear nothing. Depots decide to whom they send;
 // behind that each area's servers go by hash to all that it fills from, alike, as the design has it, so a plan reckons with what follows
 // there, and sends an area less where one behind it would get more than it bears.
-func (g *Graph) Plan(now map[string]Now) (*Share, error) {
+func (g *Graph) Plan(now map[string]Now) (*Share, error) { return g.plan(now, upRounds) }
+
+func (g *Graph) plan(now map[string]Now, rounds int) (*Share, error) {
 	p := &Problem{Head: g.shape.Head.KbPerS, Refuse: Refuse}
 	d := len(g.shape.Depots)
 	for i := range g.shape.Areas {
@@ -137,11 +139,11 @@
 				continue
 			}
 			p.Bears[a], over = sent[a]*least, true
-			if round == upRounds { // what is over is refused, and nothing else tried
+			if round == rounds { // what is over is refused, and nothing else tried
 				plan.cut(a, least)
 			}
 		}
-		if over && round < upRounds {
+		if over && round < rounds {
 			continue
 		}
 		if over {
--- a/core/hierarchy/share_test.go
+++ b/core/hierarchy/share_test.go
@@ -145,11 +145,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		share, err := g.Plan(now)
-		if err != nil {
-			t.Fatal(err)
+		for _, rounds := range []int{upRounds, 0} { // also where nothing better is looked for
+			share, err := g.plan(now, rounds)
+			if err != nil {
+				t.Fatal(err)
+			}
+			share.holds(t, now)
 		}
-		share.holds(t, now)
 	})
 }
 
