Work out a shape's paths once, areas alone; one piece for what stood twice

Compile keeps each node's shortest way to the head office, which was searched anew along every path (exponential in shapes of many levels); a plan's table of what a KB asks for has rows for areas alone, not depots squared (3.2 GB at the most nodes allowed), and the parts going up are kept and not reckoned again.

--- a/cmd/spanctl/main_test.go
+++ b/cmd/spanctl/main_test.go
@@ -11,15 +11,35 @@
 const text = `{ cells: { enabled: true, version: %V, scheme: 'fixed', cells: [{ name: 'a', share: 0.5, spill: 'b' }, { name: 'b', share: 0.5 }],
   tenants: [{ name: 't', cell: 'a' }, { name: 'u', cell: '%C' }], keys: [{ families: [1, 2], tenant: 'u' }, { tenant: 't' }], budget: {} } }`
 
-func TestCommands(t *testing.T) {
+// folder is a new one; what is returned writes a file there and tells its path.
+func folder(t *testing.T) func(name, text string) string {
 	dir := t.TempDir()
-	file := func(name, text string) string {
+	return func(name, text string) string {
+		t.Helper()
 		path := filepath.Join(dir, name)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		return path
 	}
+}
+
+// command runs one, which must print out, and fail with err or, where that is empty, not at all. It returns all that was printed.
+func command(t *testing.T, args, out, err string) string {
+	t.Helper()
+	var printed bytes.Buffer
+	got := run(strings.Fields(args), &printed)
+	if !strings.Contains(printed.String(), out) {
+		t.Errorf("%s: printed %q", args, printed.String())
+	}
+	if err == "" && got != nil || err != "" && (got == nil || !strings.Contains(got.Error(), err)) {
+		t.Errorf("%s: error %v, want %q", args, got, err)
+	}
+	return printed.String()
+}
+
+func TestCommands(t *testing.T) {
+	file := folder(t)
 	old := file("old.jsonnet", strings.NewReplacer("%V", "1", "%C", "a").Replace(text))
 	next := file("new.jsonnet", strings.NewReplacer("%V", "2", "%C", "b").Replace(text))
 	demand := file("demand.json", `[{"name":"t","loads":[3,1],"worth":5},{"name":"u","loads":[3,1],"worth":5},{"name":"v","loads":[0.1,0.1],"worth":1}]`)
@@ -42,13 +62,6 @@
 		{"cells plan " + old + " --demand " + old, "", "old.jsonnet"},
 		{"cells whatever", "", "unexpected argument"},
 	} {
-		var out bytes.Buffer
-		err := run(strings.Fields(c.args), &out)
-		if !strings.Contains(out.String(), c.out) {
-			t.Errorf("%s: printed %q", c.args, out.String())
-		}
-		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
-			t.Errorf("%s: error %v, want %q", c.args, err, c.err)
-		}
+		command(t, c.args, c.out, c.err)
 	}
 }
--- a/cmd/spanctl/moves_test.go
+++ b/cmd/spanctl/moves_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -13,15 +11,8 @@
 // A tenant's whole way by commands: moved, held, resumed, taken back, moved again and settled. What can't be done says why and leaves the
 // document as it was.
 func TestCommandsOnMoves(t *testing.T) {
-	dir := t.TempDir()
-	file := filepath.Join(dir, "f.jsonnet")
-	put := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	put := folder(t)
+	file := put("f.jsonnet", "")
 	cells := func(cell string) {
 		body := strings.NewReplacer("%V", "1", "%C", cell).Replace(text)
 		body = strings.Replace(body, "budget: {}", "budget: { fillKbPerS: 400 }", 1)
@@ -57,15 +48,7 @@
 		{"cells settle F --now 1400000", "u in *: set its cell to b (now a)", "1 moves are over"},
 		{"check F", "moves: on, version 5, 1 moves\n", ""},
 	} {
-		var out bytes.Buffer
-		args := strings.Fields(strings.ReplaceAll(c.args, " F", " "+file))
-		err := run(args, &out)
-		if !strings.Contains(out.String(), c.out) {
-			t.Errorf("%d, %s: printed %q", i, c.args, out.String())
-		}
-		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
-			t.Errorf("%d, %s: error %v, want %q", i, c.args, err, c.err)
-		}
+		printed := command(t, strings.ReplaceAll(c.args, " F", " "+file), c.out, c.err)
 		f, err := features.Load(file)
 		if err != nil {
 			t.Fatalf("%d, %s: %v", i, c.args, err)
@@ -74,7 +57,7 @@
 		if f.Document() != nil {
 			now = f.Document().Version
 		}
-		if wrote := now != version; wrote != strings.Contains(out.String(), "written; send SIGHUP") || now > version+1 {
+		if wrote := now != version; wrote != strings.Contains(printed, "written; send SIGHUP") || now > version+1 {
 			t.Errorf("%d, %s: version %d after %d", i, c.args, now, version)
 		}
 		version = now
--- a/cmd/spanctl/shape.go
+++ b/cmd/spanctl/shape.go
@@ -116,12 +116,8 @@
 		route := share.Route(d.Name)
 		var to []string
 		for k, part := range route.Parts() {
-			name := s.Head.Name
-			if k < len(s.Areas) {
-				name = s.Areas[k].Name
-			}
 			if part >= 0.0005 {
-				to = append(to, fmt.Sprintf("%s %.1f%%", name, 100*part))
+				to = append(to, fmt.Sprintf("%s %.1f%%", g.Place(k), 100*part))
 			}
 		}
 		fmt.Fprintf(out, "depot %s, %.0f KB/s: %s", d.Name, d.KbPerS, strings.Join(to, ", "))
--- a/cmd/spanctl/shape_test.go
+++ b/cmd/spanctl/shape_test.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -16,14 +13,7 @@
 
 // A shape is shown, compared and planned with; one with a circle is refused with its name.
 func TestCommandsOnShapes(t *testing.T) {
-	dir := t.TempDir()
-	put := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	put := folder(t)
 	one := put("one.jsonnet", shapeText)
 	two := put("two.jsonnet", strings.NewReplacer("version: 1", "version: 2", "kbPerS: 900", "kbPerS: 500").Replace(shapeText))
 	loop := put("loop.jsonnet", strings.Replace(shapeText, "{ from: 'south', to: 'head', kbPerS: 3000, ms: 20 }", "{ from: 'south', to: 'north', kbPerS: 9 }, { from: 'north', to: 'south', kbPerS: 9 }", 1))
@@ -41,13 +31,6 @@
 		{"shape plan " + one + " --bears east=3000", "", `"east" is no area`},
 		{"shape plan " + one + " --bears north=-1", "", "no such problem: area north"},
 	} {
-		var out bytes.Buffer
-		err := run(strings.Fields(c.args), &out)
-		if !strings.Contains(out.String(), c.out) {
-			t.Errorf("%s: printed %q", c.args, out.String())
-		}
-		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
-			t.Errorf("%s: error %v, want %q", c.args, err, c.err)
-		}
+		command(t, c.args, c.out, c.err)
 	}
 }
--- a/cmd/spanctl/stage_test.go
+++ b/cmd/spanctl/stage_test.go
@@ -1,30 +1,20 @@
 package main
 
 import (
-	"bytes"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 )
 
 // A release from its start to its stop by commands; routers' evidence adds up, and names the harm that none has found alone.
 func TestCommandsOnReleases(t *testing.T) {
-	dir := t.TempDir()
-	put := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	put := folder(t)
 	body := strings.NewReplacer("%V", "1", "%C", "a").Replace(text)
 	file := put("f.jsonnet", strings.TrimSuffix(strings.TrimSpace(body), "}")+", stage: import 'stage.json' }")
 	put("stage.json", `{"enabled": false}`)
 	line := `{"message":"stage","stage":{"name":"r1","version":1,"rings":[{"cells":["a"],"state":"judging","evidence":[4.1,-1,0]}]}}` + "\n"
 	one, two := put("n0.log", line), put("n1.log", line)
 	other := put("n2.log", strings.Replace(line, "r1", "r0", 1))
-	for i, c := range []struct{ args, out, err string }{
+	for _, c := range []struct{ args, out, err string }{
 		{"stage stop F --now 1000", "", "there is no release"},
 		{"stage start F --name r1 --ring a --now 1000", "", "neither prefix nor families"},
 		{"stage start F --name r1 --prefix ff --ring c --now 1000", "", `"c" is no cell`},
@@ -44,13 +34,6 @@
 		{"stage start F --name r3 --prefix ff --ring a --now 100000 --renews --keep 10m", "version 3 written", ""},
 		{"stage stop F --now 200000 --in 5s", "all copies made before are renewed", ""},
 	} {
-		var out bytes.Buffer
-		err := run(strings.Fields(strings.ReplaceAll(c.args, " F", " "+file)), &out)
-		if !strings.Contains(out.String(), c.out) {
-			t.Errorf("%d, %s: printed %q", i, c.args, out.String())
-		}
-		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
-			t.Errorf("%d, %s: error %v, want %q", i, c.args, err, c.err)
-		}
+		command(t, strings.ReplaceAll(c.args, " F", " "+file), c.out, c.err)
 	}
 }
--- a/core/cells/above.go
+++ b/core/cells/above.go
@@ -59,7 +59,8 @@
 	}
 	m.up = above{graph: g}
 	if g != nil {
-		m.up.asked, m.up.seen = map[string]int{}, make([]areaSeen, len(g.Shape().Areas))
+		n := len(g.Shape().Areas)
+		m.up.asked, m.up.seen, m.up.names = map[string]int{}, make([]areaSeen, n), make([][]string, n)
 	}
 	m.plan(now)
 }
@@ -79,9 +80,6 @@
 		return
 	}
 	areas := u.graph.Shape().Areas
-	if u.names == nil {
-		u.names = make([][]string, len(areas))
-	}
 	place := map[string]int{}
 	for i := range areas {
 		place[areas[i].Name] = i
@@ -121,20 +119,16 @@
 	} else {
 		u.route = share.Route(m.set.Zone)
 	}
-	m.sayPlan(areas)
+	m.sayPlan()
 }
 
 // sayPlan puts a change of the plan by a tenth or more in the log: who gets fills, and that there is no room for some.
-func (m *Module) sayPlan(areas []hierarchy.Area) {
+func (m *Module) sayPlan() {
 	u := &m.up
 	var to []string
 	for i, part := range u.route.Parts() {
 		if part >= 0.05 {
-			name := u.graph.Shape().Head.Name
-			if i < len(areas) {
-				name = areas[i].Name
-			}
-			to = append(to, fmt.Sprintf("%s %.1f", name, part))
+			to = append(to, fmt.Sprintf("%s %.1f", u.graph.Place(i), part))
 		}
 	}
 	text := "fills go to " + strings.Join(to, ", ")
--- a/core/hierarchy/plan.go
+++ b/core/hierarchy/plan.go
@@ -37,6 +37,23 @@
 	Cost    float64 // KB times ms a second, refusals among them
 }
 
+// newPlan is one in which nothing goes anywhere.
+func newPlan(depots, areas int) *Plan {
+	plan := &Plan{To: make([][]float64, depots), Home: make([][]float64, depots), Direct: make([]float64, depots), Refused: make([]float64, depots)}
+	for i := range depots {
+		plan.To[i], plan.Home[i] = make([]float64, areas), make([]float64, areas)
+	}
+	return plan
+}
+
+// refuseAll is the plan in which all that is wanted is refused.
+func (p *Problem) refuseAll() *Plan {
+	plan := newPlan(len(p.Wants), len(p.Bears))
+	copy(plan.Refused, p.Wants)
+	p.sum(plan)
+	return plan
+}
+
 // ErrProblem is wrapped by every fault of a problem.
 var ErrProblem = errors.New("no such problem")
 
@@ -89,11 +106,7 @@
 		return low, nil
 	}
 	// With nothing served nothing is asked: the other end.
-	high := &Plan{To: make([][]float64, len(p.Wants)), Home: make([][]float64, len(p.Wants)), Direct: make([]float64, len(p.Wants)), Refused: slices.Clone(p.Wants)}
-	for i, w := range p.Wants {
-		high.To[i], high.Home[i] = make([]float64, len(p.Bears)), make([]float64, len(p.Bears))
-		high.Cost += w * p.Refuse
-	}
+	high := p.refuseAll()
 	price := 0.0
 	for range rounds {
 		price = (high.Cost - low.Cost) / (low.HeadKb - high.HeadKb)
@@ -167,9 +180,9 @@
 		}
 	}
 	straight, nowhere := f.solve()
-	plan := &Plan{To: make([][]float64, len(f.wants)), Home: make([][]float64, len(f.wants)), Direct: make([]float64, len(f.wants)), Refused: make([]float64, len(f.wants)), Price: price}
+	plan := newPlan(len(p.Wants), len(p.Bears))
+	plan.Price = price
 	for i := range f.wants {
-		plan.To[i], plan.Home[i] = make([]float64, len(p.Bears)), make([]float64, len(p.Bears))
 		rounded := float64(f.wants[i])*unit - p.Wants[i] // wanted for rounding only
 		plan.Direct[i] = float64(straight[i]) * unit
 		plan.Refused[i] = max(float64(nowhere[i])*unit-rounded, 0)
@@ -210,14 +223,13 @@
 // mix is a part of one plan and the rest of another.
 func mix(a, b *Plan, part float64) *Plan {
 	of := func(x, y float64) float64 { return part*x + (1-part)*y }
-	m := &Plan{To: make([][]float64, len(a.To)), Home: make([][]float64, len(a.To)), HeadKb: of(a.HeadKb, b.HeadKb), Cost: of(a.Cost, b.Cost)}
+	m := newPlan(len(a.To), len(a.To[0]))
+	m.HeadKb, m.Cost = of(a.HeadKb, b.HeadKb), of(a.Cost, b.Cost)
 	for i := range a.To {
-		m.To[i], m.Home[i] = make([]float64, len(a.To[i])), make([]float64, len(a.To[i]))
 		for k := range m.To[i] {
 			m.To[i][k], m.Home[i][k] = of(a.To[i][k], b.To[i][k]), of(a.Home[i][k], b.Home[i][k])
 		}
-		m.Direct = append(m.Direct, of(a.Direct[i], b.Direct[i]))
-		m.Refused = append(m.Refused, of(a.Refused[i], b.Refused[i]))
+		m.Direct[i], m.Refused[i] = of(a.Direct[i], b.Direct[i]), of(a.Refused[i], b.Refused[i])
 	}
 	return m
 }
@@ -248,7 +260,7 @@
 
 // share plays a plain way: to names the areas of a depot, nil for all.
 func (p *Problem) share(to func(depot int) []int, times float64) *Plan {
-	plan := &Plan{To: make([][]float64, len(p.Wants)), Home: make([][]float64, len(p.Wants)), Direct: make([]float64, len(p.Wants)), Refused: slices.Clone(p.Wants)}
+	plan := p.refuseAll()
 	sent := make([]float64, len(p.Bears))
 	all, bears := 0.0, 0.0
 	for _, w := range p.Wants {
@@ -267,9 +279,6 @@
 	if times > 0 {
 		tried = len(p.Bears)
 	}
-	for i := range plan.To {
-		plan.To[i], plan.Home[i] = make([]float64, len(p.Bears)), make([]float64, len(p.Bears))
-	}
 	for range tried { // rounds: what was left over goes on to areas that have room
 		for i := range p.Wants {
 			areas := to(i)
--- a/core/hierarchy/shape.go
+++ b/core/hierarchy/shape.go
@@ -80,7 +80,8 @@
 	shape *Shape
 	place map[string]int
 	order Order
-	level []int // of each node: the head office's is 0, any other's one more than the greatest of those that it fills from
+	level []int     // of each node: the head office's is 0, any other's one more than the greatest of those that it fills from
+	upMs  []float64 // of each node, its shortest way to the head office, Refuse at most
 	ways  map[[2]int]int
 	salt  []uint64 // of each area's name, then the head office's
 }
@@ -178,20 +179,24 @@
 
 // levels counts them from the head office on. A node without a way to it has none, which is -1, and nothing is filled from there.
 func (g *Graph) levels() {
-	g.level = make([]int, g.order.Len())
+	g.level, g.upMs = make([]int, g.order.Len()), make([]float64, g.order.Len())
 	for _, n := range g.upward() {
 		if n == g.head() {
 			continue
 		}
-		g.level[n] = -1
+		g.level[n], g.upMs[n] = -1, Refuse
 		for _, to := range g.order.Out(n) {
 			if g.level[to] >= 0 {
 				g.level[n] = max(g.level[n], g.level[to]+1)
+				g.upMs[n] = min(g.upMs[n], g.way(n, int(to)).Ms+g.upMs[to])
 			}
 		}
 	}
 }
 
+// way is the one that there is from a node to another.
+func (g *Graph) way(from, to int) *Way { return &g.shape.Ways[g.ways[[2]int{from, to}]] }
+
 func (g *Graph) head() int { return len(g.shape.Depots) + len(g.shape.Areas) }
 
 func (g *Graph) name(node int) string {
@@ -204,6 +209,9 @@
 	return g.shape.Head.Name
 }
 
+// Place names a place of a route: an area by its number in the document, behind the last the head office.
+func (g *Graph) Place(i int) string { return g.name(len(g.shape.Depots) + i) }
+
 func (g *Graph) names(nodes []int) (all []string) {
 	for _, n := range nodes {
 		all = append(all, g.name(n))
--- a/core/hierarchy/share.go
+++ b/core/hierarchy/share.go
@@ -50,39 +50,49 @@
 		}
 		p.Bears = append(p.Bears, n.KbPerS)
 	}
-	// What a KB into an area asks of each node behind it, from the head office down.
-	order := g.upward()
-	use := make([][]float64, g.order.Len())
+	// What a KB into an area asks of each place behind it (areas, then the head office), from the head office down: part of it of each that it
+	// fills from.
+	areas := len(p.Bears)
+	use, ups, part := make([][]float64, areas+1), make([][]int, areas), make([]float64, areas)
 	live := func(node int) bool { // it can pass on what it misses
 		return node == g.head() || node >= d && g.level[node] >= 0 && p.Bears[node-d] > 0
 	}
-	for _, n := range order {
-		use[n] = make([]float64, g.order.Len())
-		if n < d || n == g.head() || !live(n) {
+	for _, n := range g.upward() {
+		if n < d {
 			continue
 		}
-		up := g.live(n, live)
-		if len(up) == 0 {
-			p.Bears[n-d] = 0 // it has nobody to ask
+		a := n - d
+		use[a] = make([]float64, areas+1)
+		if n == g.head() || !live(n) {
 			continue
 		}
-		part := g.shape.Areas[n-d].asks(now[g.shape.Areas[n-d].Name]) / float64(len(up))
-		for _, u := range up {
-			use[n][u] += part
+		for _, to := range g.order.Out(n) {
+			if live(int(to)) {
+				ups[a] = append(ups[a], int(to)-d)
+			}
+		}
+		if len(ups[a]) == 0 {
+			p.Bears[a] = 0 // it has nobody to ask
+			continue
+		}
+		slices.Sort(ups[a])
+		part[a] = g.shape.Areas[a].asks(now[g.shape.Areas[a].Name]) / float64(len(ups[a]))
+		for _, u := range ups[a] {
+			use[a][u] += part[a]
 			for k, v := range use[u] {
-				use[n][k] += part * v
+				use[a][k] += part[a] * v
 			}
 		}
 	}
 	for a := range p.Bears {
-		p.Asks = append(p.Asks, min(use[d+a][g.head()], 1))
+		p.Asks = append(p.Asks, min(use[a][areas], 1))
 	}
 	for i, dep := range g.shape.Depots {
 		p.Wants = append(p.Wants, dep.KbPerS)
 		room, ms := make([]float64, len(p.Bears)), make([]float64, len(p.Bears))
 		direct, far := 0.0, 0.0
 		for _, to := range g.order.Out(i) {
-			switch w := g.shape.Ways[g.ways[[2]int{i, int(to)}]]; {
+			switch w := g.way(i, int(to)); {
 			case int(to) == g.head():
 				direct, far = w.KbPerS, min(w.Ms+headMs, Refuse)
 			case live(int(to)):
@@ -117,22 +127,20 @@
 				weight[a] = (home + (sent[a]-home)*p.stray(a)/p.Asks[a]) / sent[a]
 			}
 			for u := range bears {
-				s.Above[u] += sent[a] * weight[a] * use[d+a][d+u]
+				s.Above[u] += sent[a] * weight[a] * use[a][u]
 			}
 		}
 		over := false
 		for a := range p.Bears {
 			least := 1.0
 			for u, kb := range s.Above {
-				if total := kb + sent[u]; use[d+a][d+u] > 0 && total > bears[u]+unit {
+				if total := kb + sent[u]; use[a][u] > 0 && total > bears[u]+unit {
 					least = min(least, max(bears[u]-sent[u], 0)/kb)
 				}
 			}
-			for _, to := range g.live(d+a, live) { // and no more than fits on its own ways up
-				if w := g.shape.Ways[g.ways[[2]int{d + a, to}]]; use[d+a][to] > 0 {
-					if kb := sent[a] * min(weight[a]*p.part(g, now, a, live), 1); kb > w.KbPerS+unit {
-						least = min(least, w.KbPerS/kb)
-					}
+			for _, u := range ups[a] { // and no more than fits on its own ways up
+				if kb, fits := sent[a]*min(weight[a]*part[a], 1), g.way(d+a, d+u).KbPerS; kb > fits+unit {
+					least = min(least, fits/kb)
 				}
 			}
 			if least == 1 {
@@ -151,7 +159,7 @@
 			clear(s.Above)
 			for a, kb := range sent {
 				for u := range bears {
-					s.Above[u] += min(kb, p.Bears[a]) * weight[a] * use[d+a][d+u]
+					s.Above[u] += min(kb, p.Bears[a]) * weight[a] * use[a][u]
 				}
 			}
 		}
@@ -178,7 +186,7 @@
 			}
 		}
 		all += p.Home[a]
-		p.UpMs[a] = min(g.upMs(len(g.shape.Depots)+a)+headMs, Refuse)
+		p.UpMs[a] = min(g.upMs[len(g.shape.Depots)+a]+headMs, Refuse)
 	}
 	for a := range p.Home {
 		if all > 0 {
@@ -187,26 +195,6 @@
 	}
 }
 
-// upMs is how long the shortest way is from a node to the head office.
-func (g *Graph) upMs(node int) float64 {
-	least := float64(Refuse)
-	if node == g.head() {
-		return 0
-	}
-	for _, to := range g.order.Out(node) {
-		if g.level[to] >= 0 {
-			least = min(least, g.shape.Ways[g.ways[[2]int{node, int(to)}]].Ms+g.upMs(int(to)))
-		}
-	}
-	return least
-}
-
-// part is what of a KB into an area goes over each of its ways up.
-func (p *Problem) part(g *Graph, now map[string]Now, area int, live func(int) bool) float64 {
-	a := &g.shape.Areas[area]
-	return a.asks(now[a.Name]) / float64(max(len(g.live(len(g.shape.Depots)+area, live)), 1))
-}
-
 // upward is all nodes, each after those that it fills from.
 func (g *Graph) upward() []int {
 	nodes := make([]int, g.order.Len())
@@ -217,17 +205,6 @@
 	return nodes
 }
 
-// live are the nodes that one fills from and that can be asked, in the order of their numbers.
-func (g *Graph) live(node int, is func(int) bool) (up []int) {
-	for _, to := range g.order.Out(node) {
-		if is(int(to)) {
-			up = append(up, int(to))
-		}
-	}
-	slices.Sort(up)
-	return up
-}
-
 // Route is how one depot's fills go.
 type Route struct {
 	Salt  []uint64  // by which places are told apart: of each area's name, so that no other area's coming or going changes them
--- a/emulator/prefill.go
+++ b/emulator/prefill.go
@@ -71,11 +71,15 @@
 		if p.class == catalogue {
 			made = -int64(mix(key) % uint64(freshUs*8/10))
 		}
+		var asked []int32 // area caches, for all parts alike
 		for part := range int32(classOf[p.class].partsMost) {
 			kb := sizeOf(key, part, int(p.class))
 			at := key ^ uint64(part)<<36
 			if above > 0 && left[0] <= 0 { // they are asked only for what depots miss
-				for _, id := range w.askedFor(object, objectState, parents) {
+				if asked == nil {
+					asked = w.askedFor(object, objectState, parents)
+				}
+				for _, id := range asked {
 					puts = append(puts, place{id, at, kb, made})
 					above -= kb
 				}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -302,12 +302,7 @@
 	if e.Shield != nil {
 		return e.shields(size, seed, tick)
 	}
-	var runs []Run
-	for _, arm := range sorted(e.Arms) {
-		for _, day := range sorted(e.Days) {
-			runs = append(runs, Run{Arm: arm, Day: day})
-		}
-	}
+	runs := e.runs()
 	type world struct{ run, nth int }
 	var all []world
 	results := make([][]emulator.Result, len(runs))
@@ -368,6 +363,16 @@
 	return e.outcome(size, seed, runs)
 }
 
+// runs is each arm on each day, with nothing in it yet.
+func (e *Experiment) runs() (runs []Run) {
+	for _, arm := range sorted(e.Arms) {
+		for _, day := range sorted(e.Days) {
+			runs = append(runs, Run{Arm: arm, Day: day})
+		}
+	}
+	return runs
+}
+
 // outcome holds runs against the claims.
 func (e *Experiment) outcome(size string, seed uint64, runs []Run) (*Outcome, error) {
 	o := &Outcome{Experiment: e.Name, Size: size, Seed: seed, Runs: runs}
--- a/lab/shapes.go
+++ b/lab/shapes.go
@@ -40,12 +40,7 @@
 	if !known {
 		return nil, fmt.Errorf("size %q: there is none", size)
 	}
-	var runs []Run
-	for _, arm := range sorted(e.Arms) {
-		for _, day := range sorted(e.Days) {
-			runs = append(runs, Run{Arm: arm, Day: day})
-		}
-	}
+	runs := e.runs()
 	results := make([]*emulator.ShieldResult, len(runs))
 	var group errgroup.Group
 	group.SetLimit(runtime.GOMAXPROCS(0))
