Serve the second address: bans, drain, figures, new settings, replaced while it serves

core/roster keeps servers that staff took out apart from the list; rules.Retune changes settings under open requests; internal/manage answers the calls and shares what is out by a file in TMPDIR; msgpackrpc empties a server and puts it back; SIGHUP turns a file down whole by its keys, its classes and the module's own checks; a listening socket handed down is used, and limits then count for two processes. Way not taken: a filter behind the module's pick (docs/operation.md).

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -26,6 +25,7 @@
 	"spantack/internal/clock"
 	"spantack/internal/config"
 	"spantack/internal/features"
+	"spantack/internal/manage"
 	"spantack/internal/msgpackrpc"
 	"spantack/internal/resp"
 	"spantack/internal/router"
@@ -114,7 +114,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // routers share one core: more threads would only take turns on it
-	debug.SetMemoryLimit(int64(memoryShare * c.MemoryMB * (1 << 20)))
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("router", c.Name).Logger()
 
@@ -131,10 +130,16 @@
 	defer stopAccepting()
 
 	now := &clock.Clock{}
-	memory := c.MemoryMB * (1 << 20)
-	clients := c.Sockets / clientShare
-	mostConns := min(c.Sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody))
-	clients = max(clients, min(c.Sockets-mostConns-spareSockets, int(extraShare*memory/clientBytes)))
+	shelf := manage.NewShelf(c.Shelf, log)
+	inherited := c.Socket >= 0
+	memory, sockets := c.MemoryMB*(1<<20), c.Sockets
+	if inherited { // one process replaces another while that serves: the limits count for both
+		memory, sockets = memory/2, sockets/2
+	}
+	debug.SetMemoryLimit(int64(memoryShare * memory))
+	clients := sockets / clientShare
+	mostConns := min(sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody))
+	clients = max(clients, min(sockets-mostConns-spareSockets, int(extraShare*memory/clientBytes)))
 	pools := resp.NewPools(serving, resp.Options{DialTimeout: c.DialTimeout, IdleClose: c.IdleClose,
 		MaxStreams: c.MaxStreams, MostConns: mostConns, MostWait: c.MostWait}, now, log)
 	core, err := router.New(c.Settings, c.Seed, now, pools, log)
@@ -148,17 +153,26 @@
 		pools.Apply(n)
 		core.Apply(n)
 	}
-	keyed := map[string]bool{}
-	for _, class := range c.Settings.Classes {
-		keyed[class.Name] = class.Idempotency == "idempotency_key"
-	}
-	lastAnswer := max(min(c.Longest, longestKept)+killSlack-stopEarly, stayOpen)
-	var ready atomic.Bool
-	server := &msgpackrpc.Server{Handle: core.Serve, Ready: ready.Load, Keyed: keyed, MostConns: clients,
-		MostQueued: int64(queueShare * memory), Patience: lastAnswer + takeAnswer - stayOpen, Clock: now, Log: log}
-	listener, err := net.Listen("tcp", c.Listen)
+	var ready, ending atomic.Bool
+	server := &msgpackrpc.Server{Keyed: keyed(c), Handle: core.Serve, Turned: core.Turned, MostConns: clients,
+		MostQueued: int64(queueShare * memory), Clock: now, Log: log}
+	server.Ready = func() bool { return ready.Load() && !server.Evacuated() }
+	listener, err := openClients(c)
 	if err != nil {
-		return fmt.Errorf("RELAY_LISTEN: %w", err)
+		return err
+	}
+	var second net.Listener
+	if c.Manage != "" {
+		if second, err = manage.Listen(serving, c.Manage); err != nil {
+			return err
+		}
+	}
+	ids, err := shelf.Outs()
+	if err == nil {
+		err = core.Adopt(ids)
+	}
+	if err != nil { // a file that can't be read must not keep the router from its work
+		log.Warn().Err(err).Msg("what is out can't be read")
 	}
 	for _, n := range c.Notices {
 		apply(n)
@@ -170,6 +184,18 @@
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return follower.Run(serving) })
+	var files reloads
+	var longest atomic.Value // of a class's deadline, in milliseconds
+	longest.Store(c.Longest)
+	if second != nil {
+		if err := shelf.Serving(); err != nil {
+			log.Warn().Err(err).Msg("can't say that this process serves")
+		}
+		staff := operate(core, server, pools, shelf, &files, log)
+		staff.Ready = func() bool { return server.Ready() && !ending.Load() }
+		group.Go(func() error { return staff.Serve(serving, second) })
+		group.Go(func() error { return shelf.Follow(serving, core.Adopt) })
+	}
 	var later *background.Runner
 	if file != "" { // without the flag nothing new is on
 		if later, err = background.New(now, uint64(c.Seed), log); err != nil {
@@ -185,7 +211,8 @@
 			case <-serving.Done():
 				return nil
 			case <-hangUp:
-				c = reconfigure(c, again, follower.Move, log)
+				c = reconfigure(c, again, core, server, follower.Move, &files, log)
+				longest.Store(c.Longest)
 				on = refeature(file, on, c, core, now, log)
 			}
 		}
@@ -196,8 +223,15 @@
 		case <-serving.Done():
 			return nil
 		}
-		log.Info().Msg("stopping")
-		now.AfterFunc(stayOpen, stopAccepting)
+		ending.Store(true)
+		stay := float64(stayOpen)
+		if inherited && shelf.Replaced() { // the other process takes what comes: to take more would only have it cut short
+			stay = 0
+		}
+		log.Info().Bool("replaced", stay == 0).Msg("stopping")
+		lastAnswer := max(min(longest.Load().(float64), longestKept)+killSlack-stopEarly, stayOpen)
+		server.Patience = lastAnswer + takeAnswer - stay // read once accepting has ended
+		now.AfterFunc(stay, stopAccepting)
 		now.AfterFunc(lastAnswer, core.Finish)
 		return nil
 	})
@@ -213,28 +247,6 @@
 	return err
 }
 
-// reconfigure takes the file in anew after SIGHUP and returns the configuration in force. Nothing of a file applies
-// unless all of it can be used. Only the board's address changes in a running router: its beliefs and its limits rest
-// on the rest, which takes a restart.
-func reconfigure(old *config.Config, again reload, move func(string), log zerolog.Logger) *config.Config {
-	c, err := again()
-	if err != nil {
-		log.Error().Err(err).Msg("new configuration can't be used")
-		return old
-	}
-	if !reflect.DeepEqual(c.Settings, old.Settings) || c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets ||
-		c.DialTimeout != old.DialTimeout || c.IdleClose != old.IdleClose || c.MaxStreams != old.MaxStreams || c.Seed != old.Seed {
-		log.Warn().Msg("new configuration differs in more than the board: that takes a restart")
-	}
-	log.Info().Str("from", old.Board).Str("board", c.Board).Msg("new configuration")
-	if c.Board != old.Board {
-		move(c.Board)
-	}
-	taken := *old
-	taken.Board = c.Board
-	return &taken
-}
-
 // refeature takes the features file in anew after SIGHUP and returns the one in force. A file that can't be used changes nothing.
 func refeature(file string, old *features.File, c *config.Config, core *router.Router, now *clock.Clock, log zerolog.Logger) *features.File {
 	if file == "" {
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -183,13 +183,45 @@
 	}
 	m := &Module{rules: inner, set: set, rng: rand.New(rand.NewPCG(uint64(seed), 1)), list: map[string]rules.Row{}, above: map[string]rules.Row{},
 		open: map[string]open{}, writes: map[string]bool{}, classes: map[string]int{}, gains: map[string]float64{}, objects: NewHitters(heavyObjects, objectHalfLife)}
+	m.learnClasses(set)
+	return m, nil
+}
+
+// learnClasses keeps what the gate has to know of the settings' classes.
+func (m *Module) learnClasses(set rules.Settings) {
+	clear(m.gains)
+	clear(m.classes)
+	clear(m.writes)
 	for i, c := range set.Classes {
 		m.gains[c.Name], m.classes[c.Name] = c.Gain, i
 		m.writes[c.Name] = i < len(set.Extra.PassOn) && set.Extra.PassOn[i]
 	}
-	return m, nil
 }
 
+// Retune puts other settings in force as rules.Router.Retune does. How late an answer to an open request is told by its
+// class's place among the new ones, or, where it has none, by the first one's: that is all the gate keeps of it.
+func (m *Module) Retune(now int64, set rules.Settings) error {
+	if err := m.rules.Retune(set); err != nil {
+		return err
+	}
+	set.Zone, set.Zones, set.Kinds = m.set.Zone, m.set.Zones, m.set.Kinds
+	set.Extra.MasterKind, set.Extra.ShieldKind = m.set.Extra.MasterKind, m.set.Extra.ShieldKind
+	old := m.set
+	m.set = set
+	m.learnClasses(set)
+	for call, o := range m.open {
+		o.class = int16(m.classes[old.Classes[o.class].Name])
+		m.open[call] = o
+	}
+	if m.assigned != nil {
+		m.Confine(now, m.assigned)
+	}
+	return nil
+}
+
+// Avoided names the listed caches of the own depot that requests are kept off by their breakers.
+func (m *Module) Avoided(now int64) []string { return m.rules.Avoided(now) }
+
 // Confine puts an assignment in force, or with nil none. Requests under way end where they began; what is known of tenants
 // that both have is kept.
 func (m *Module) Confine(now int64, next *Assignment) {
@@ -655,3 +687,9 @@
 		delete(m.open, call)
 	}
 }
+
+// Cache tells whether a row of the list is a cache's: no area cache, not the head office.
+func (m *Module) Cache(row rules.Row) bool {
+	kind := slices.Index(m.set.Kinds, row.Kind)
+	return kind != m.set.Extra.MasterKind && kind != m.set.Extra.ShieldKind
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,149 @@
+package roster
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spantack/rules"
+)
+
+func row(id, status string) rules.Row { return rules.Row{Node: id, Kind: "box", Status: status} }
+
+func statuses(rows []rules.Row) string {
+	text := ""
+	for _, r := range rows {
+		text += r.Node + "=" + r.Status + " "
+	}
+	return text
+}
+
+// What is out stays out through a drain, a restart and a whole new list; one call back undoes two calls out.
+func TestOutWhateverTheListSays(t *testing.T) {
+	r := New()
+	r.Note(true, []rules.Row{row("a", "healthy"), row("b", "healthy")})
+	for i, want := range []string{"a=cordoned ", ""} {
+		if rows, err := r.Exclude("a"); err != nil || statuses(rows) != want {
+			t.Errorf("call %d: %v, %v", i, rows, err)
+		}
+	}
+	restarted := row("a", "healthy")
+	restarted.CameUp = 7
+	for _, c := range []struct {
+		whole bool
+		row   rules.Row
+		want  string
+	}{{false, row("a", "cordoned"), "a=cordoned "}, {false, row("a", "deregistered"), "a=deregistered "}, {false, restarted, "a=cordoned "},
+		{true, restarted, "a=cordoned "}} {
+		if got := statuses(r.Note(c.whole, []rules.Row{c.row})); got != c.want {
+			t.Errorf("%+v: %s, want %s", c.row, got, c.want)
+		}
+	}
+	rows, err := r.Include("a")
+	if err != nil || statuses(rows) != "a=healthy " || rows[0].CameUp != 7 {
+		t.Errorf("back: %+v, %v", rows, err)
+	}
+	if rows, err := r.Include("a"); err != nil || rows != nil {
+		t.Errorf("back twice: %v, %v", rows, err)
+	}
+}
+
+func TestUnknown(t *testing.T) {
+	r := New()
+	r.Note(true, []rules.Row{row("a", "healthy")})
+	if _, err := r.Exclude("x"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("out: %v", err)
+	}
+	if _, err := r.Include("x"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("back: %v", err)
+	}
+	r.Exclude("a")
+	r.Note(true, nil)
+	if listed, off := r.Count(func(rules.Row) bool { return true }, nil); listed != 0 || off != 0 {
+		t.Errorf("%d listed, %d off", listed, off)
+	}
+	if rows, err := r.Include("a"); err != nil || rows != nil {
+		t.Errorf("back when it has left the list: %v, %v", rows, err)
+	}
+}
+
+// What the module has heard last of each server is always the list with what is out drawn from it, and a successor that adopts the
+// outs hears the same.
+func TestModuleHearsTheListLessTheOuts(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		r, heard, outs := New(), map[string]string{}, map[string]bool{}
+		list := map[string]string{}
+		hear := func(rows []rules.Row) {
+			for _, row := range rows {
+				heard[row.Node] = row.Status
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				status := rapid.SampledFrom([]string{"healthy", "cordoned", "deregistered"}).Draw(t, "status")
+				list[id] = status
+				hear(r.Note(false, []rules.Row{row(id, status)}))
+			case 1:
+				clear(heard)
+				clear(list)
+				list[id] = "healthy"
+				hear(r.Note(true, []rules.Row{row(id, "healthy")}))
+			case 2:
+				known := outs[id] || list[id] == "healthy" || list[id] == "cordoned"
+				rows, err := r.Exclude(id)
+				if (err == nil) != known {
+					t.Fatalf("out %s: %v, list %v", id, err, list)
+				}
+				outs[id] = known
+				hear(rows)
+			case 3:
+				rows, _ := r.Include(id)
+				delete(outs, id)
+				hear(rows)
+			case 4:
+				next := rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID[string]).Draw(t, "outs")
+				rows, err := r.Adopt(next)
+				if err != nil {
+					t.Fatal(err)
+				}
+				clear(outs)
+				for _, id := range next {
+					outs[id] = true
+				}
+				hear(rows)
+			}
+			for id, status := range list {
+				if status == "healthy" && outs[id] {
+					status = "cordoned"
+				}
+				if heard[id] != status {
+					t.Fatalf("of %s the module heard %q last, %q holds", id, heard[id], status)
+				}
+			}
+		}
+		maps.DeleteFunc(outs, func(_ string, is bool) bool { return !is })
+		if got := r.Outs(); !slices.Equal(got, slices.Sorted(maps.Keys(outs))) {
+			t.Fatalf("outs %v, want %v", got, outs)
+		}
+	})
+}
+
+func TestAdoptRefuses(t *testing.T) {
+	r := New()
+	r.Note(true, []rules.Row{row("a", "healthy")})
+	r.Exclude("a")
+	for _, ids := range [][]string{{""}, {string(make([]byte, longestID+1))}, make([]string, MostOuts+1)} {
+		if _, err := r.Adopt(ids); err == nil {
+			t.Errorf("took %d ids", len(ids))
+		}
+	}
+	if got := r.Outs(); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("outs %v after sets that were refused", got)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 
 	"spantack/internal/board"
@@ -19,6 +20,9 @@
 type Config struct {
 	Name   string
 	Listen string
+	Manage string // the second address; empty: none
+	Socket int    // descriptor of an inherited listening socket for clients; -1: none
+	Shelf  string // folder that the processes of this router share; empty: none
 	Board  string
 	Seed   int64
 
@@ -35,6 +39,8 @@
 	Last    uint64 // number of the last event of Notices
 	Notices []router.Notice
 	Names   board.Names
+
+	keys shape // of the file
 }
 
 type document struct {
@@ -44,6 +50,7 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Board    string          `json:"board"`
+	Manage   string          `json:"mgmt"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -82,6 +89,20 @@
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("RELAY_LISTEN: %w", err)
 	}
+	if addr := getenv("RELAY_MGMT"); addr != "" {
+		c.Manage = addr
+	}
+	if c.Manage != "" {
+		if _, err := netip.ParseAddrPort(c.Manage); err != nil {
+			return nil, fmt.Errorf("mgmt: %w", err)
+		}
+		c.Shelf = getenv("TMPDIR")
+	}
+	if fd := getenv("RELAY_SOCKET_FD"); fd != "" {
+		if c.Socket, err = strconv.Atoi(fd); err != nil || c.Socket <= 2 {
+			return nil, fmt.Errorf("RELAY_SOCKET_FD: %q is no descriptor above 2", fd)
+		}
+	}
 	return c, nil
 }
 
@@ -91,7 +112,11 @@
 	if err := decode("RELAY_CONFIG", text, &d); err != nil {
 		return nil, err
 	}
-	c := &Config{Board: d.Board, MemoryMB: d.Limits.MemoryMB, Sockets: d.Limits.Sockets}
+	keys, err := shapeOf(text)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{keys: keys, Board: d.Board, Manage: d.Manage, Socket: -1, MemoryMB: d.Limits.MemoryMB, Sockets: d.Limits.Sockets}
 	seed, err := strconv.ParseUint(d.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
@@ -150,7 +175,10 @@
 			c.MostWait = ms
 		}
 	}
-	for _, class := range set.Classes {
+	for i, class := range set.Classes {
+		if slices.ContainsFunc(set.Classes[:i], func(o rules.Class) bool { return o.Name == class.Name }) {
+			return fmt.Errorf("settings.Classes[%d].Name: %q stands twice", i, class.Name)
+		}
 		c.Longest = max(c.Longest, clock.Millis(class.Deadline))
 	}
 	return nil
--- /dev/null
+++ b/internal/manage/manage_test.go
@@ -0,0 +1,275 @@
+package manage
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"spantack/core/roster"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type calls struct {
+	mu    sync.Mutex
+	names []string
+	ready atomic.Bool
+}
+
+func (c *calls) note(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = append(c.names, name)
+}
+
+func serve(t *testing.T) (addr string, c *calls) {
+	t.Helper()
+	c = &calls{}
+	c.ready.Store(true)
+	by := func(what string) func(string) error {
+		return func(id string) error {
+			if id == "s-0" {
+				return roster.ErrUnknown
+			}
+			if id == "s-full" {
+				return errors.New("disk full")
+			}
+			c.note(what + " " + id)
+			return nil
+		}
+	}
+	s := &Server{Ready: c.ready.Load, Exclude: by("out"), Include: by("back"), Log: zerolog.Nop(),
+		Evacuate: func() { c.note("empty"); c.ready.Store(false) }, Rejoin: func() { c.note("rejoin"); c.ready.Store(true) },
+		Figures: func() []Figure {
+			return []Figure{{Name: "results.page.succeeded", Value: 812}, {Name: "outstanding", Value: 14, Gauge: true}}
+		}}
+	ctx, stop := context.WithCancel(context.Background())
+	l, err := Listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String(), c
+}
+
+// call writes one call as it stands, in pieces, and returns the status and the body; 0 for a connection that ends without.
+func call(t *testing.T, addr string, pieces ...string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, p := range pieces {
+		io.WriteString(c, p)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	if !r.Close {
+		t.Error("the connection is kept for a second call")
+	}
+	return r.StatusCode, string(body)
+}
+
+func TestCalls(t *testing.T) {
+	addr, c := serve(t)
+	for i, one := range []struct {
+		line string
+		want int
+		body string
+	}{
+		{"GET /api/ready", 200, "yes\n"},
+		{"GET /api/telemetry", 200, "app.results.page.succeeded:812|c\napp.outstanding:14|g\n"},
+		{"PUT /api/exclude/s-1", 200, "yes\n"},
+		{"PUT /api/exclude/s-0", 404, "id: no such server is listed\n"},
+		{"PUT /api/exclude/s-full", 503, "disk full\n"},
+		{"PUT /api/include/s-1", 200, "yes\n"},
+		{"PUT /api/include/s-0", 404, "id: no such server is listed\n"},
+		{"PUT /api/exclude/" + strings.Repeat("x", longestID+1), 400, "id: too long\n"},
+		{"PUT /api/exclude/", 404, ""},
+		{"GET /api/exclude/s-1", 405, ""},
+		{"PUT /api/evacuate", 200, "yes\n"},
+		{"GET /api/ready", 503, "no\n"},
+		{"PUT /api/rejoin", 200, "yes\n"},
+		{"GET /api/ready", 200, "yes\n"},
+		{"GET /api/other", 404, ""},
+	} {
+		status, body := call(t, addr, one.line[:len(one.line)/2], one.line[len(one.line)/2:]+" HTTP/1.1\r\nHo", "st: r\r\nContent-Length: 0\r\n\r\n")
+		if status != one.want || one.body != "" && body != one.body {
+			t.Errorf("%d, %s: %d %q, want %d %q", i, one.line, status, body, one.want, one.body)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if got := strings.Join(c.names, ", "); got != "out s-1, back s-1, empty, rejoin" {
+		t.Errorf("calls that came through: %s", got)
+	}
+}
+
+// Callers that connect and send no whole call, however many, hold up no call; nor does what is no HTTP.
+func TestHeldConnections(t *testing.T) {
+	addr, _ := serve(t)
+	for i := range 3 * MostConns {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, []string{"", "GET /api/re", "PUT /api/exclude/s-1 HTTP/1.1\r\nHost: r\r\nContent-Length: 900\r\n\r\nx"}[i%3])
+	}
+	if status, _ := call(t, addr, "GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n"); status != 200 {
+		t.Errorf("status %d beside held connections", status)
+	}
+	for _, text := range []string{"\x00\x01\x02\r\n\r\n", "GET /api/ready HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 4000) + "\r\n", "GET\r\n\r\n"} {
+		if status, _ := call(t, addr, text); status == 200 {
+			t.Errorf("%.20q: answered", text)
+		}
+	}
+}
+
+// Two processes of one router change what is out: none forgets what the other did, and each hears of it by the file.
+func TestShelfTwoProcesses(t *testing.T) {
+	dir := t.TempDir()
+	type process struct {
+		shelf *Shelf
+		list  *roster.Roster
+		mu    sync.Mutex
+	}
+	start := func() *process {
+		p := &process{shelf: NewShelf(dir, zerolog.Nop()), list: roster.New()}
+		ids, err := p.shelf.Outs()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.list.Adopt(ids)
+		return p
+	}
+	adopt := func(p *process) func([]string) error {
+		return func(ids []string) error {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			_, err := p.list.Adopt(ids)
+			return err
+		}
+	}
+	outs := func(p *process) func() []string {
+		return func() []string {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.list.Outs()
+		}
+	}
+	change := func(p *process, id string, in bool) error {
+		return p.shelf.Change(adopt(p), func() error {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			ids := p.list.Outs()
+			if in {
+				ids = slices.DeleteFunc(ids, func(o string) bool { return o == id })
+			} else {
+				ids = append(ids, id)
+			}
+			_, err := p.list.Adopt(ids)
+			return err
+		}, outs(p))
+	}
+	old := start()
+	if err := change(old, "a", false); err != nil {
+		t.Fatal(err)
+	}
+	fresh := start()
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			if err := change([]*process{old, fresh}[i%2], fmt.Sprintf("s-%02d", i), false); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	if err := change(fresh, "a", true); err != nil {
+		t.Fatal(err)
+	}
+	if got := outs(fresh)(); len(got) != 40 || slices.Contains(got, "a") {
+		t.Errorf("%d are out: %v", len(got), got)
+	}
+	heard := make(chan struct{})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- old.shelf.Follow(ctx, func(ids []string) error {
+			if len(ids) == 40 {
+				close(heard)
+			}
+			return adopt(old)(ids)
+		})
+	}()
+	<-heard
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if got := outs(old)(); slices.Contains(got, "a") {
+		t.Errorf("the other process still has %v out", got)
+	}
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil || len(left) != 2 {
+		t.Errorf("files left: %v, %v", left, err)
+	}
+}
+
+// A file that another program spoilt is no reason to stop; without a shelf all works but is not handed on.
+func TestShelfSpoilt(t *testing.T) {
+	dir := t.TempDir()
+	s := NewShelf(dir, zerolog.Nop())
+	if s.Replaced() {
+		t.Error("replaced by nobody")
+	}
+	if err := s.Serving(); err != nil || s.Replaced() {
+		t.Errorf("replaced by itself, %v", err)
+	}
+	for _, text := range []string{"", "{", `{"a":1}`, strings.Repeat(" ", mostBytes+1)} {
+		if err := os.WriteFile(filepath.Join(dir, outsFile), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if ids, err := s.Outs(); err == nil || ids != nil {
+			t.Errorf("%.10q: read as %v", text, ids)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, servingFile), []byte("1"), 0o600); err != nil || !s.Replaced() {
+		t.Errorf("not replaced by process 1, %v", err)
+	}
+	none := NewShelf("", zerolog.Nop())
+	called := false
+	if err := none.Change(nil, func() error { called = true; return nil }, nil); err != nil || !called || none.Serving() != nil || none.Replaced() {
+		t.Error("without a shelf")
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -28,19 +28,25 @@
 	frameLimit  = 2_000       // for the rest of a message once it has begun
 	writeLimit  = 10_000      // for one answer: a client that takes none of it is gone
 	lastLook    = 50          // for a message already on its way when the connection is to be closed
+	refuseAfter = 1_500       // of an Evacuate: 4 s after its call no connection may hold a request of the last 2 s
+	shortLook   = 1           // as lastLook, from then on
 	lingerLimit = 250         // for what crosses our close
 	requestCost = 8 << 10     // bytes that an open request takes besides its body
 	acceptPause = 20          // after an accept that failed
 	freshConn   = 100         // a new connection is given so long for its first message to be on its way
 	readBuffer  = 4 << 10
 	logEvery    = 1000
+
+	fullWait      = "100"  // cooldown of a request that finds no room
+	evacuatedWait = "1000" // and of one that comes to a server that was emptied
 )
 
 // Server serves clients. Its fields are set before Serve.
 type Server struct {
 	Handle     func(context.Context, router.Request) router.Answer
 	Ready      func() bool
-	Keyed      map[string]bool // the classes, and whether their requests carry an idempotency key
+	Keyed      map[string]bool    // the classes, and whether their requests carry an idempotency key; Retune changes them
+	Turned     func(class string) // told of each request of a class that is refused here; nil: nobody
 	MostConns  int
 	MostQueued int64   // bytes of open requests and of answers waiting to be written, on all connections
 	Patience   float64 // how long open requests may hold up the end of Serve
@@ -50,7 +56,9 @@
 	mu         sync.Mutex // where both are held, it is taken before that of a conn
 	conns      map[*conn]bool
 	queued     int64
-	drains     bool
+	drains     bool // no connection is wanted any more, since emptyAt, in milliseconds
+	ends       bool // for good
+	emptyAt    float64
 	faults     int64
 	logged     float64
 	gaveWay    int64
@@ -87,11 +95,8 @@
 		})
 	}
 	s.mu.Lock()
-	s.drains = true
-	rest := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		rest = append(rest, c)
-	}
+	s.drains, s.ends = true, true
+	rest := s.all()
 	s.mu.Unlock()
 	for _, c := range rest {
 		c.poke()
@@ -106,6 +111,65 @@
 	return nil
 }
 
+// all are the connections there are. s.mu is held.
+func (s *Server) all() []*conn {
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Evacuate empties the server until Rejoin: each connection closes once no request is open on it, and refuseAfter milliseconds later
+// requests that still come are refused. New connections are taken, for the front learns late, and close likewise.
+func (s *Server) Evacuate() {
+	s.mu.Lock()
+	if !s.drains {
+		s.drains, s.emptyAt = true, s.Clock.Now()
+	}
+	list := s.all()
+	s.mu.Unlock()
+	for _, c := range list {
+		c.poke()
+	}
+}
+
+// Rejoin ends an Evacuate.
+func (s *Server) Rejoin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains = s.ends
+}
+
+// Evacuated tells whether the server is being emptied, or is empty.
+func (s *Server) Evacuated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains && !s.ends
+}
+
+// refuses tells whether requests are no longer taken: those who keep connections busy must not keep the server from being empty.
+func (s *Server) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drains && !s.ends && s.Clock.Now()-s.emptyAt >= refuseAfter
+}
+
+// Retune replaces the classes.
+func (s *Server) Retune(keyed map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Keyed = keyed
+}
+
+// class tells whether a class is known, and whether its requests carry an idempotency key.
+func (s *Server) class(name string) (keyed, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keyed, known = s.Keyed[name]
+	return keyed, known
+}
+
 // place books a new connection. Where all places are taken, the one that is quiet for longest gives way: a client that
 // asked once and holds its connection for good must not keep others out. Without a quiet one the new one finds none.
 func (s *Server) place(c *conn) bool {
@@ -256,13 +320,15 @@
 // await sets the time by which the next message must begin. When the connection is not wanted any more, that is
 // soon: what the client wrote before it could know counts as taken.
 func (c *conn) await() (last bool) {
-	draining := c.server.draining()
+	draining, refuses := c.server.draining(), c.server.refuses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inside = false
 	last = draining && len(c.open) == 0
 	wait := float64(idleLimit)
 	switch {
+	case last && refuses:
+		wait = shortLook
 	case last:
 		wait = lastLook
 	case !c.spoken:
@@ -332,7 +398,7 @@
 		}
 		return c.send(answer{parts: net.Buffers{appendFields(buf)}})
 	}
-	keyed, known := s.Keyed[m.method]
+	keyed, known := s.class(m.method)
 	if !known {
 		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Error", "reason", "unknown method")}})
 	}
@@ -342,6 +408,9 @@
 		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Error", "reason", err.Error())}})
 	}
 	q.Arrived = arrived
+	if s.refuses() {
+		return c.refuse(m, evacuatedWait)
+	}
 	cost := int64(requestCost + len(q.Body))
 	reserved := s.reserve(cost) // guards memory against a flood of requests
 	c.mu.Lock()
@@ -359,7 +428,7 @@
 	case twice:
 		return fmt.Errorf("%w: message id %d is open already", errMalformed, m.id)
 	case !room:
-		return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Full", "cooldown", "100")}})
+		return c.refuse(m, fullWait)
 	}
 	requests.Go(func() {
 		defer s.reserve(-cost)
@@ -376,6 +445,14 @@
 	return nil
 }
 
+// refuse answers a request that was not taken; wait is how long its client should stay away, in milliseconds.
+func (c *conn) refuse(m message, wait string) error {
+	if c.server.Turned != nil {
+		c.server.Turned(m.method)
+	}
+	return c.send(answer{parts: net.Buffers{appendError(nil, m.id, "Full", "cooldown", wait)}})
+}
+
 // handle keeps a panic in one request from taking all others down with it.
 func (s *Server) handle(ctx context.Context, q router.Request) (a router.Answer) {
 	defer func() {
--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -24,6 +24,7 @@
 	stop  context.CancelFunc
 	ended chan error
 	addr  string
+	*Server
 }
 
 type asked struct {
@@ -32,7 +33,7 @@
 	answer chan router.Answer
 }
 
-func start(t *testing.T) *client {
+func start(t *testing.T, setup ...func(*Server)) *client {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,6 +52,10 @@
 				return router.Answer{}
 			}
 		}}
+	c.Server = s
+	for _, set := range setup {
+		set(s)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	go func() { c.ended <- s.Serve(ctx, l) }()
@@ -179,6 +184,58 @@
 	c.expect("[1 2 [Error map[]] <nil>]")
 }
 
+// Emptied by staff: what is open gets its answer, and the connection closes after it; a client that keeps its connection busy is refused
+// in time; and after it all is as before.
+func TestEvacuate(t *testing.T) {
+	fake, turned := clock.NewFake(1_764_576_000_000), make(chan string, 1)
+	c := start(t, func(s *Server) { s.Clock, s.Turned = fake, func(class string) { turned <- class } })
+	c.request(1, "page", "0000000000000001")
+	a := <-c.asked
+	c.Evacuate()
+	if !c.Evacuated() {
+		t.Error("not evacuated")
+	}
+	c.request(2, "page", "0000000000000002") // clients go on using open connections
+	b := <-c.asked
+	fake.Advance(refuseAfter)
+	c.request(3, "page", "0000000000000003")
+	c.expect("[1 3 [Full map[cooldown:1000]] <nil>]")
+	if class := <-turned; class != "page" {
+		t.Errorf("refused a request of %q", class)
+	}
+	a.answer <- router.Answer{Verdict: router.Served, Body: []byte("x")}
+	c.expect("[1 1 <nil> [[120] map[]]]")
+	b.answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 2 [Error map[]] <nil>]")
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+	c.Rejoin()
+	if c.Evacuated() {
+		t.Error("evacuated after the end of it")
+	}
+	nc, err := net.Dial("tcp", c.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	again := &client{t: t, Conn: nc, in: bufio.NewReader(nc), asked: c.asked}
+	again.request(1, "page", "0000000000000004")
+	(<-again.asked).answer <- router.Answer{Verdict: router.Failed}
+	again.expect("[1 1 [Error map[]] <nil>]")
+}
+
+// Classes change under a connection: a new one is known at once, one that was dropped no more.
+func TestRetune(t *testing.T) {
+	c := start(t)
+	c.Retune(map[string]bool{"price": false})
+	c.request(1, "page", "0000000000000001")
+	c.expect("[1 1 [Error map[reason:unknown method]] <nil>]")
+	c.request(2, "price", "0000000000000002")
+	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 2 [Error map[]] <nil>]")
+}
+
 // Answers that nobody reads are bounded, by connection and in bytes.
 func TestQueueBounds(t *testing.T) {
 	s := &Server{MostQueued: 100, Clock: &clock.Clock{}}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,8 @@
 	log   zerolog.Logger
 	ctx   context.Context
 
+	written atomic.Int64 // attempts put on a socket whole
+
 	mu      sync.Mutex
 	servers map[string]*pool // by id
 	conns   int              // open and being opened
@@ -388,10 +391,16 @@
 				c.fail(err)
 				return
 			}
+			if m.call != nil {
+				c.pool.owner.written.Add(1)
+			}
 		}
 	}
 }
 
+// Written is how many attempts were written whole to servers.
+func (p *Pools) Written() int64 { return p.written.Load() }
+
 // steady is a connection that must go on with what it has begun: after each read the next bytes are due soon. It
 // guards against answers that stop short on a connection that stays open, and hold up all that is out on it.
 type steady struct{ net.Conn }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"spantack/core/cells"
 	"spantack/core/hierarchy"
 	"spantack/core/moves"
+	"spantack/core/roster"
 	"spantack/core/stages"
 	"spantack/internal/clock"
 	"spantack/rules"
@@ -125,20 +126,31 @@
 
 	mu    sync.Mutex // held only while the module decides; never across I/O
 	rules *cells.Module
+	list  *roster.Roster
 	last  int64 // the module's clock must not run backwards
 	mail  map[string]chan rules.Action
 
+	tallies atomic.Pointer[map[string]*Tally] // by class; the map itself never changes
+
 	finish chan struct{} // closed when the time for answers is over
 }
 
+// Tally counts the ends of requests of one class.
+type Tally struct {
+	Class                   string
+	Served, Refused, Failed atomic.Int64
+}
+
 // New returns a router that decides by the settings and sends by way of upstream.
 func New(set rules.Settings, seed int64, c *clock.Clock, upstream Upstream, log zerolog.Logger) (*Router, error) {
 	module, err := cells.NewModule(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Router{clock: c, log: log, upstream: upstream, rules: module, mail: map[string]chan rules.Action{},
-		finish: make(chan struct{})}, nil
+	r := &Router{clock: c, log: log, upstream: upstream, rules: module, list: roster.New(), mail: map[string]chan rules.Action{},
+		finish: make(chan struct{})}
+	r.tally(set)
+	return r, nil
 }
 
 // Finish answers all that is still open, and what comes later: the process is about to end, and what it leaves
@@ -213,10 +225,14 @@
 			Weight: s.Weight, CameUp: clock.Micros(s.Started)})
 	}
 	if n.Purge != nil {
-		ev = rules.Event{Kind: rules.Purged, Object: n.Purge.Object, Group: n.Purge.Group,
-			Age: clock.Micros(max(r.clock.Now()-n.Purge.At, 0))}
+		r.step(rules.Event{Kind: rules.Purged, Object: n.Purge.Object, Group: n.Purge.Group,
+			Age: clock.Micros(max(r.clock.Now()-n.Purge.At, 0))})
+		return
 	}
-	r.step(ev)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ev.Rows = r.list.Note(n.Whole, ev.Rows)
+	r.take(ev)
 }
 
 // step takes one event to the module and each action to the mailbox of the request that it names. The timers that
@@ -224,6 +240,11 @@
 func (r *Router) step(ev rules.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.take(ev)
+}
+
+// take is step for one who holds the lock.
+func (r *Router) take(ev rules.Event) {
 	r.last = max(r.last, clock.Micros(r.clock.Now()))
 	for _, a := range r.decide(ev) {
 		switch a.Kind {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -23,8 +23,9 @@
 
 // Serve takes one request from its arrival to its final answer. The module says what to do next at every turn; ctx
 // ends when the client no longer waits.
-func (r *Router) Serve(ctx context.Context, q Request) Answer {
+func (r *Router) Serve(ctx context.Context, q Request) (answer Answer) {
 	r.Counters.Taken.Add(1)
+	defer func() { r.count(q.Class, answer.Verdict) }()
 	mail := make(chan rules.Action, mailboxRoom)
 	r.mu.Lock()
 	_, twice := r.mail[q.ID]
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -14,7 +14,7 @@
 
 // dispatch sends the next attempt of q or gives its final answer at once.
 func (r *Router) dispatch(q *request) {
-	if q.deadline <= r.now || q.attempts >= r.set.Permissions.MaxAttempts || !r.mayResend(q) {
+	if q.deadline <= r.now || q.attempts >= q.most || !r.mayResend(q) {
 		r.end(q)
 		return
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -96,7 +96,8 @@
 		r.act(Action{Kind: Fail, Call: ev.Call})
 		return
 	}
-	q := &request{Event: *ev, class: class, account: r.poolOf(ev.Set).account, deadline: r.now + ev.ExpiresIn}
+	q := &request{Event: *ev, class: class, account: r.poolOf(ev.Set).account, deadline: r.now + ev.ExpiresIn,
+		most: r.set.Permissions.MaxAttempts}
 	if t := r.tenants[q.Tenant]; t != nil {
 		t.add(r.now, rateSpan, 1)
 		q.over = t.rate(r.now, rateSpan)*1e6 > t.quota
--- a/rules/state.go
+++ b/rules/state.go
@@ -178,7 +178,7 @@
 	account        int
 	part           string // object and part: what is kept and filled on its own
 	deadline       int64
-	attempts       int
+	attempts, most int // made, and allowed when it came
 	out, started   bool
 	over           bool  // past its tenant's share
 	ranNode        *node // where the first attempt that may have run went, at ranAt; nil: none may have
