Hand on what a process believes to the one that replaces it

Need: over a replacement all rules run on, and what a cold server was sent of late by the old process counts with what the new one sends. It was forgotten, as were breakers, limits and times.

It is kept for the rule on cold servers.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -177,6 +177,9 @@
 	for _, n := range c.Notices {
 		apply(n)
 	}
+	if inherited {
+		takeOver(core, shelf, log)
+	}
 	ready.Store(true)
 	log.Info().Str("listen", c.Listen).Uint64("known", c.Last).Msg("serving")
 
@@ -195,6 +198,9 @@
 		staff.Ready = func() bool { return server.Ready() && !ending.Load() }
 		group.Go(func() error { return staff.Serve(serving, second) })
 		group.Go(func() error { return shelf.Follow(serving, core.Adopt) })
+		if inherited {
+			group.Go(func() error { return shelf.Leave(serving, core.Beliefs) })
+		}
 	}
 	var later *background.Runner
 	if file != "" { // without the flag nothing new is on
--- a/cmd/spantack/operate.go
+++ b/cmd/spantack/operate.go
@@ -107,3 +107,18 @@
 	taken.MemoryMB, taken.Sockets, taken.DialTimeout, taken.IdleClose, taken.MaxStreams = old.MemoryMB, old.Sockets, old.DialTimeout, old.IdleClose, old.MaxStreams
 	return &taken
 }
+
+// takeOver starts with what the process believed that this one replaces, where there is one. Without it a router begins with small
+// limits and no idea of who fails.
+func takeOver(core *router.Router, shelf *manage.Shelf, log zerolog.Logger) {
+	b, found, err := shelf.Beliefs()
+	if err == nil && found {
+		err = core.Believe(b)
+	}
+	switch {
+	case err != nil:
+		log.Warn().Err(err).Msg("what the process before believed can't be used")
+	case found:
+		log.Info().Int("servers", len(b.Nodes)).Int("objects", len(b.Recent)).Msg("taking over")
+	}
+}
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -219,6 +219,12 @@
 	return nil
 }
 
+// Beliefs and Believe are those of the module behind the gate. What the gate itself has learnt of tenants is not handed on.
+func (m *Module) Beliefs(now int64) rules.Beliefs { return m.rules.Beliefs(now) }
+
+// Believe takes over what another process of the same router believed.
+func (m *Module) Believe(now int64, b rules.Beliefs) error { return m.rules.Believe(now, b) }
+
 // Avoided names the listed caches of the own depot that requests are kept off by their breakers.
 func (m *Module) Avoided(now int64) []string { return m.rules.Avoided(now) }
 
--- a/internal/manage/shelf.go
+++ b/internal/manage/shelf.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"spantack/internal/clock"
+	"spantack/rules"
 )
 
 // Shelf is what the processes of one router share while one replaces the other: a folder that both have. It holds which servers are out,
@@ -27,10 +28,13 @@
 	outsFile    = "spantack-outs.json"
 	lockFile    = "spantack-lock"
 	servingFile = "spantack-serving"
+	beliefsFile = "spantack-beliefs.json"
 	mostBytes   = 256 << 10
 	// lookEvery, in milliseconds, the file of outs is looked at for what the other process wrote. With the pick after it, it must
 	// stay well under the grace of 500 ms.
 	lookEvery = 100
+	// leaveEvery, in milliseconds, what is believed is put on the shelf while this process serves.
+	leaveEvery = 500
 )
 
 // NewShelf returns the shelf in a folder; nil where there is none.
@@ -69,6 +73,37 @@
 	return ids, err
 }
 
+// Leave puts what is believed on the shelf every now and then, for whoever takes over, until another process serves or ctx ends.
+func (s *Shelf) Leave(ctx context.Context, beliefs func() rules.Beliefs) error {
+	if s == nil {
+		return nil
+	}
+	tick := time.NewTicker(clock.Duration(leaveEvery))
+	defer tick.Stop()
+	for !s.Replaced() { // or the older beliefs would take the place of the newer
+		if err := s.write(beliefsFile, beliefs()); err != nil {
+			s.log.Warn().Err(err).Msg("beliefs can't be left")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// Beliefs are those that the process before left; found is false where there are none.
+func (s *Shelf) Beliefs() (b rules.Beliefs, found bool, err error) {
+	if s == nil {
+		return b, false, nil
+	}
+	if err = s.read(beliefsFile, &b); errors.Is(err, fs.ErrNotExist) {
+		return b, false, nil
+	}
+	return b, err == nil, err
+}
+
 // Change makes one change to what is out, here and on the shelf, alone among the processes: it adopts what the other wrote before it calls
 // change, and writes what is out after. Without a shelf it only calls change.
 func (s *Shelf) Change(adopt func([]string) error, change func() error, outs func() []string) error {
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -123,3 +123,19 @@
 	r.tally(set)
 	return nil
 }
+
+// Beliefs are what the module has learnt, for a process that takes over.
+func (r *Router) Beliefs() rules.Beliefs {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Beliefs(clock.Micros(r.clock.Now()))
+}
+
+// Believe takes over what the process believed that this one replaces. It is called once the list of servers is known. Its error tells
+// what can't be true; nothing of it is believed then.
+func (r *Router) Believe(b rules.Beliefs) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = max(r.last, clock.Micros(r.clock.Now()))
+	return r.rules.Believe(r.last, b)
+}
