Accept on a shared socket without getting stuck; refuse what would be cut short at the end

Seen in a new test that replaces a router three times under load: a process told to end sat in accept for good, and another answered 184 requests with a failure at its last moment.

Causes: whether a call on a socket blocks is shared by all who hold it, and a supervisor that starts the next process may set it (Go's os/exec does); net's Accept then blocks in the kernel and Close waits for it. manage.Socket sets it back before each try. And connections that are never without an open request did not close after SIGTERM; from 1.5 s on what still comes is refused now, where trying again is harmless, as when a router is emptied.

Tests on loopback, real processes: 6,000 requests over three replacements with a cache out (none lost or wrong, none sent there in between), figures against clients and servers, five files turned down and one taken, a router emptied and put back.

--- a/cmd/spantack/operate.go
+++ b/cmd/spantack/operate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -28,16 +27,11 @@
 		}
 		return l, nil
 	}
-	f := os.NewFile(uintptr(c.Socket), "clients")
-	if f == nil {
-		return nil, fmt.Errorf("RELAY_SOCKET_FD: %d is no descriptor", c.Socket)
-	}
-	defer f.Close() // the listener has a copy
-	l, err := net.FileListener(f)
+	s, err := manage.Inherit(c.Socket)
 	if err != nil {
 		return nil, fmt.Errorf("RELAY_SOCKET_FD: %w", err)
 	}
-	return l, nil
+	return s, nil
 }
 
 // keyed tells of each class whether its requests carry an idempotency key.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -29,6 +29,22 @@
 		c.MostWait != 300 || c.Longest != 3000 || c.Last != 3 || len(c.Notices) != 1 || c.Settings.Zone != "east" {
 		t.Errorf("%+v", c)
 	}
+	if c.Manage != "" || c.Socket != -1 || c.Shelf != "" {
+		t.Errorf("what is not asked for is on: %+v", c)
+	}
+	env["TMPDIR"] = "/t"
+	env["RELAY_MGMT"], env["RELAY_SOCKET_FD"] = "127.0.0.1:9100", "4"
+	if c, err = Load(func(name string) string { return env[name] }); err != nil || c.Manage != "127.0.0.1:9100" || c.Socket != 4 || c.Shelf != "/t" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for name, value := range map[string]string{"RELAY_MGMT": "here", "RELAY_SOCKET_FD": "two"} {
+		old := env[name]
+		env[name] = value
+		if _, err := Load(func(name string) string { return env[name] }); err == nil || !strings.HasPrefix(err.Error(), name) && !strings.HasPrefix(err.Error(), "mgmt") {
+			t.Errorf("%s=%q: %v", name, value, err)
+		}
+		env[name] = old
+	}
 	for name, value := range map[string]string{"RELAY_NAME": "", "RELAY_LISTEN": "everywhere", "RELAY_CONFIG": file + "x"} {
 		old := env[name]
 		env[name] = value
@@ -66,3 +82,38 @@
 		}
 	}
 }
+
+// A file that lacks a key which the one in force has, wherever it stands, is turned down; one that has more is not, nor is one whose
+// events are of other kinds.
+func TestFollows(t *testing.T) {
+	old, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`"name":"n3",`, ``, "name: missing"},
+		{`"cores":1.0,`, ``, "limits.cores: missing"},
+		{`"Promise":300000,`, ``, "settings.Classes[].Promise: missing"},
+		{`"HeedWithin":300000`, `"X":1`, "settings.Extra.HeedWithin: missing"},
+		{`"Guarantees":{"StopSendingWithin":500000}`, `"Guarantees":null`, "settings.Guarantees: no object any more"},
+		{`"Zone":"east",`, `"Zone":"east","Beyond":{"a":1},`, ""},
+		{`{"rev":3,"pool":{"all":true,"targets":[]}}`, `{"rev":3,"flush":{"collection":17,"ms":1764576000480}}`, ""},
+		{`"Promise":300000,"Idempotency":"read_like"}`, `"Promise":300000,"Idempotency":"read_like"},{"Name":"b","Promise":1,"Deadline":1,"Idempotency":"read_like","AimStretch":2}`, ""},
+		{`"Promise":300000,"Idempotency":"read_like"}`, `"Promise":300000,"Idempotency":"read_like"},{"Name":"b","Deadline":1,"Idempotency":"read_like"}`, "settings.Classes[].Promise: missing"},
+	} {
+		if !strings.Contains(good, c.from) {
+			t.Fatalf("no %s in the configuration", c.from)
+		}
+		next, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err != nil {
+			t.Fatalf("%s: %v", c.to, err)
+		}
+		if err := next.Follows(old); c.want == "" && err != nil || c.want != "" && (err == nil || err.Error() != c.want) {
+			t.Errorf("%s for %s: %v, want %q", c.to, c.from, err, c.want)
+		}
+	}
+	if _, err := Parse([]byte(strings.Replace(good, `}],"Extra"`, `},{"Name":"page","Deadline":1,"Idempotency":"read_like"}],"Extra"`, 1))); err == nil ||
+		!strings.HasPrefix(err.Error(), "settings.Classes[1].Name") {
+		t.Errorf("a class twice: %v", err)
+	}
+}
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -91,7 +91,7 @@
 	switch now {
 	case http.StateNew:
 		if s.conns = append(s.conns, c); len(s.conns) > MostConns {
-			old = s.conns[0]
+			old, s.conns = s.conns[0], s.conns[1:]
 		}
 	case http.StateClosed:
 		s.conns = slices.DeleteFunc(s.conns, func(o net.Conn) bool { return o == c })
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -38,7 +38,7 @@
 	c.names = append(c.names, name)
 }
 
-func serve(t *testing.T) (addr string, c *calls) {
+func serve(t *testing.T) (addr string, c *calls, s *Server) {
 	t.Helper()
 	c = &calls{}
 	c.ready.Store(true)
@@ -54,7 +54,7 @@
 			return nil
 		}
 	}
-	s := &Server{Ready: c.ready.Load, Exclude: by("out"), Include: by("back"), Log: zerolog.Nop(),
+	s = &Server{Ready: c.ready.Load, Exclude: by("out"), Include: by("back"), Log: zerolog.Nop(),
 		Evacuate: func() { c.note("empty"); c.ready.Store(false) }, Rejoin: func() { c.note("rejoin"); c.ready.Store(true) },
 		Figures: func() []Figure {
 			return []Figure{{Name: "results.page.succeeded", Value: 812}, {Name: "outstanding", Value: 14, Gauge: true}}
@@ -72,7 +72,7 @@
 			t.Error(err)
 		}
 	})
-	return l.Addr().String(), c
+	return l.Addr().String(), c, s
 }
 
 // call writes one call as it stands, in pieces, and returns the status and the body; 0 for a connection that ends without.
@@ -102,7 +102,7 @@
 }
 
 func TestCalls(t *testing.T) {
-	addr, c := serve(t)
+	addr, c, _ := serve(t)
 	for i, one := range []struct {
 		line string
 		want int
@@ -138,7 +138,7 @@
 
 // Callers that connect and send no whole call, however many, hold up no call; nor does what is no HTTP.
 func TestHeldConnections(t *testing.T) {
-	addr, _ := serve(t)
+	addr, _, s := serve(t)
 	for i := range 3 * MostConns {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
@@ -150,6 +150,11 @@
 	if status, _ := call(t, addr, "GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n"); status != 200 {
 		t.Errorf("status %d beside held connections", status)
 	}
+	s.mu.Lock()
+	if n := len(s.conns); n > MostConns {
+		t.Errorf("%d connections are held", n)
+	}
+	s.mu.Unlock()
 	for _, text := range []string{"\x00\x01\x02\r\n\r\n", "GET /api/ready HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 4000) + "\r\n", "GET\r\n\r\n"} {
 		if status, _ := call(t, addr, text); status == 200 {
 			t.Errorf("%.20q: answered", text)
--- /dev/null
+++ b/internal/manage/socket_test.go
@@ -0,0 +1,117 @@
+package manage
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+)
+
+// hold opens a socket as a platform holds one, and returns descriptors for two processes.
+func hold(t *testing.T) (addr string, fds [3]int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for i := range fds {
+		if fds[i], err = syscall.Dup(int(f.Fd())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(func() { syscall.Close(fds[2]) })
+	return l.Addr().String(), fds
+}
+
+// Two processes accept on one socket; that whoever holds it makes it block keeps neither from ending, and what comes after one has ended
+// goes to the other.
+func TestSocketMadeToBlock(t *testing.T) {
+	addr, fds := hold(t)
+	accepted := make(chan net.Conn)
+	var ends [2]chan error
+	var sockets [2]*Socket
+	for i := range sockets {
+		s, err := Inherit(fds[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Addr().String() != addr {
+			t.Errorf("at %s, not %s", s.Addr(), addr)
+		}
+		sockets[i], ends[i] = s, make(chan error, 1)
+		go func() {
+			for {
+				c, err := s.Accept()
+				if err != nil {
+					ends[i] <- err
+					return
+				}
+				accepted <- c
+			}
+		}()
+	}
+	visit := func() {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		there := <-accepted
+		c.Write([]byte("x"))
+		var got [1]byte
+		if _, err := there.Read(got[:]); err != nil || got[0] != 'x' {
+			t.Errorf("%q, %v", got, err)
+		}
+		there.Close()
+		c.Close()
+	}
+	for range 50 { // each wakes both, and one comes too late
+		if err := syscall.SetNonblock(fds[2], false); err != nil {
+			t.Fatal(err)
+		}
+		visit()
+	}
+	if err := syscall.SetNonblock(fds[2], false); err != nil {
+		t.Fatal(err)
+	}
+	sockets[0].Close()
+	if err := <-ends[0]; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the end: %v", err)
+	}
+	for range 20 {
+		visit()
+	}
+	sockets[1].Close()
+	if err := <-ends[1]; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the end: %v", err)
+	}
+}
+
+// What is no listening socket is refused.
+func TestInheritWhatIsNone(t *testing.T) {
+	addr, fds := hold(t)
+	if _, err := Inherit(1 << 20); err == nil {
+		t.Error("took a descriptor that is not open")
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	f, err := c.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := Inherit(int(f.Fd())); err == nil {
+		t.Error("took a connection")
+	}
+	for _, fd := range fds[:2] {
+		syscall.Close(fd)
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -66,7 +66,8 @@
 }
 
 // Serve accepts connections until ctx ends, then closes each as soon as no request is open on it, and returns when
-// all are closed.
+// all are closed. Requests that still come refuseAfter milliseconds later, on connections that are never without one, are refused: they
+// would be cut short at the end.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.conns = map[*conn]bool{}
 	defer context.AfterFunc(ctx, func() { l.Close() })()
@@ -95,7 +96,7 @@
 		})
 	}
 	s.mu.Lock()
-	s.drains, s.ends = true, true
+	s.drains, s.ends, s.emptyAt = true, true, s.Clock.Now()
 	rest := s.all()
 	s.mu.Unlock()
 	for _, c := range rest {
@@ -152,7 +153,7 @@
 func (s *Server) refuses() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.drains && !s.ends && s.Clock.Now()-s.emptyAt >= refuseAfter
+	return s.drains && s.Clock.Now()-s.emptyAt >= refuseAfter
 }
 
 // Retune replaces the classes.
--- /dev/null
+++ b/internal/router/operate_test.go
@@ -0,0 +1,109 @@
+package router
+
+import (
+	"errors"
+	"testing"
+
+	"spantack/core/roster"
+	"spantack/rules"
+)
+
+func listed(status string) Notice {
+	return Notice{Servers: []Server{{ID: "box-1", Zone: "east", Kind: "box", Status: status, Weight: 4}}}
+}
+
+// A cache that staff took out gets nothing, whatever the list says of it meanwhile, until it is put back.
+func TestExclude(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	for range 2 {
+		if err := g.Exclude("box-1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := g.Exclude("box-9"); !errors.Is(err, roster.ErrUnknown) {
+		t.Errorf("an unknown one: %v", err)
+	}
+	for _, n := range []Notice{{}, listed("cordoned"), listed("healthy"), listed("deregistered"), listed("healthy")} {
+		g.Apply(n)
+		g.serve("r1")
+		c := <-g.up.sent
+		if c.Server != "origin-1" {
+			t.Errorf("after %+v: sent to %s", n, c.Server)
+		}
+		c.done <- End{Code: rules.Done}
+		<-g.answer
+	}
+	if listed, off := g.Caches(); listed != 1 || off != 1 {
+		t.Errorf("%d listed, %d off", listed, off)
+	}
+	if err := g.Include("box-1"); err != nil {
+		t.Fatal(err)
+	}
+	g.serve("r2")
+	if c := <-g.up.sent; c.Server != "box-1" {
+		t.Errorf("put back, and sent to %s", c.Server)
+	} else {
+		c.done <- End{Code: rules.Done}
+	}
+	<-g.answer
+	if err := g.Adopt([]string{"box-1"}); err != nil || len(g.Outs()) != 1 {
+		t.Errorf("adopted %v, %v", g.Outs(), err)
+	}
+	if listed, off := g.Caches(); listed != 1 || off != 1 {
+		t.Errorf("adopted: %d listed, %d off", listed, off)
+	}
+}
+
+// Counts are by class and by end, start at 0, outlive a class, and what is open stands under none.
+func TestTallies(t *testing.T) {
+	g := newRig(t, "box", "origin")
+	g.serve("r1")
+	c := <-g.up.sent
+	if open := g.Open(); open != 1 {
+		t.Errorf("%d open", open)
+	}
+	c.done <- End{Code: rules.Done}
+	<-g.answer
+	g.Turned("page")
+	g.Turned("nothing")
+	set := rules.Settings{Classes: []rules.Class{{Name: "price", Deadline: 1_000_000, Promise: 400_000, Idempotency: "read_like", Group: "all"}},
+		Permissions: rules.Permissions{MaxAttempts: 1}}
+	if err := g.Retune(set); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Retune(rules.Settings{}); err == nil {
+		t.Error("settings without a class were taken")
+	}
+	list := g.Tallies()
+	if len(list) != 2 || list[0].Class != "page" || list[0].Served.Load() != 1 || list[0].Refused.Load() != 1 || list[1].Class != "price" || g.Open() != 0 {
+		t.Errorf("%d classes, %d open", len(list), g.Open())
+	}
+	for i := range 2 * mostTallies { // settings that change for ever keep the counts in bounds
+		set.Classes[0].Name = "class-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		if err := g.Retune(set); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(g.Tallies()); n > mostTallies {
+		t.Errorf("%d classes are counted", n)
+	}
+}
+
+// What a router believes reaches another through Believe, once the list is known there.
+func TestBeliefs(t *testing.T) {
+	g, next := newRig(t, "box", "origin"), newRig(t, "box", "origin")
+	g.serve("r1")
+	(<-g.up.sent).done <- End{Code: rules.Done}
+	<-g.answer
+	if err := next.Believe(g.Beliefs()); err != nil {
+		t.Fatal(err)
+	}
+	if b := next.Beliefs(); b.Recent["front"] != 1 {
+		t.Errorf("%+v", b)
+	}
+	b := g.Beliefs()
+	b.At = 0
+	if err := next.Believe(b); err == nil {
+		t.Error("beliefs of another time were taken")
+	}
+}
--- a/lab/local/load.go
+++ b/lab/local/load.go
@@ -32,11 +32,17 @@
 	Flood int
 	Times float64
 	Tick  func(done int)
+	// Sent is told of each request's place before it goes out.
+	Sent func(i int)
+	// Redial opens a new connection where one was closed, and sends a request that crossed the close again on it, once: what clients of
+	// the platform do.
+	Redial bool
 }
 
 // Count is what became of the requests of one class.
 type Count struct {
 	Served, Refused, Failed, Wrong, Lost int
+	Again                                int                     // of all: those that crossed a close and were sent again
 	Took                                 *hdrhistogram.Histogram // microseconds, of served ones
 }
 
@@ -54,6 +60,7 @@
 		sum.Failed += c.Failed
 		sum.Wrong += c.Wrong
 		sum.Lost += c.Lost
+		sum.Again += c.Again
 	}
 	return sum
 }
@@ -69,19 +76,19 @@
 	for _, c := range Classes {
 		rep.Class[c] = &Count{Took: hdrhistogram.New(1, 60_000_000, 3)}
 	}
-	var clients []*msgpackrpc.Client
+	var lines []*line
 	defer func() {
-		for _, c := range clients {
-			c.Close()
+		for _, l := range lines {
+			l.close()
 		}
 	}()
 	for _, r := range d.Routers {
 		for range load.Conns {
-			c, err := msgpackrpc.Dial(r.Addr, 1000)
-			if err != nil {
+			l := &line{addr: r.Addr, redial: load.Redial}
+			if _, err := l.client(); err != nil {
 				return nil, err
 			}
-			clients = append(clients, c)
+			lines = append(lines, l)
 		}
 	}
 	rng := rand.New(rand.NewPCG(load.Seed, 0x10ad))
@@ -117,10 +124,13 @@
 		if class == Classes[2] {
 			q.Key, q.Body = "key-"+q.ID, []byte("stock")
 		}
-		client := clients[rng.IntN(len(clients))]
+		to := lines[rng.IntN(len(lines))]
+		if load.Sent != nil {
+			load.Sent(i)
+		}
 		open.Go(func() {
 			begin := time.Now()
-			a, err := client.Do(ctx, q)
+			a, again, err := to.do(ctx, q)
 			took := time.Since(begin)
 			mu.Lock()
 			defer mu.Unlock()
@@ -130,6 +140,7 @@
 			}
 			for _, c := range []*Count{rep.Class[class], &rep.Family[family]} {
 				c.book(&q, a, err, took)
+				c.Again += again
 			}
 		})
 	}
@@ -154,3 +165,53 @@
 		}
 	}
 }
+
+// line is one client: a connection at a time to one router.
+type line struct {
+	addr   string
+	redial bool
+
+	mu   sync.Mutex
+	conn *msgpackrpc.Client
+}
+
+func (l *line) client() (*msgpackrpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		c, err := msgpackrpc.Dial(l.addr, 1000)
+		if err != nil {
+			return nil, err
+		}
+		l.conn = c
+	}
+	return l.conn, nil
+}
+
+// do sends a request; again is 1 if it had to be sent once more.
+func (l *line) do(ctx context.Context, q router.Request) (a router.Answer, again int, err error) {
+	for {
+		c, err := l.client()
+		if err != nil {
+			return a, again, err
+		}
+		if a, err = c.Do(ctx, q); !l.redial || again > 0 || !errors.Is(err, msgpackrpc.ErrClosed) {
+			return a, again, err
+		}
+		again++
+		l.mu.Lock()
+		if l.conn == c {
+			c.Close()
+			l.conn = nil
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (l *line) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
--- a/lab/local/local.go
+++ b/lab/local/local.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -31,6 +33,7 @@
 	Script   func(tier.Get) tier.Fault
 	Delay    time.Duration // of a cache; above it three times as much
 	Binary   string        // the router; empty: built for the purpose
+	Managed  bool          // routers have a second address, and get their listening socket handed down
 }
 
 // Kinds of server, by their places in the settings.
@@ -59,10 +62,14 @@
 
 // Router is one router process.
 type Router struct {
-	Addr string
-	Log  string // path of its log
-	cmd  *exec.Cmd
-	done chan error
+	Addr   string
+	Manage string // the second address; empty: none
+	Log    string // path of its log
+	cmd    *exec.Cmd
+	done   chan error
+	place  int
+	starts int
+	socket *os.File // the listening socket that its processes inherit; nil: none
 }
 
 // upWithin is how long a router may take until it is ready, in milliseconds.
@@ -122,7 +129,7 @@
 		}
 	}
 	for i := range opt.Routers {
-		r, err := d.start(i)
+		r, err := d.start(i, nil)
 		if err != nil {
 			return d, err
 		}
@@ -241,24 +248,36 @@
 	}
 }
 
-func (d *Deployment) start(i int) (*Router, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // finds a free port
+// freeAddr finds a free port of loopback.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	addr := l.Addr().String()
-	l.Close()
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// start runs a router's process; before is the one that it takes over from, nil for the first.
+func (d *Deployment) start(i int, before *Router) (r *Router, err error) {
 	name := fmt.Sprintf("n%d", i)
-	text, err := json.Marshal(map[string]any{"seed": fmt.Sprintf("%016x", 7919*(i+1)), "limits": map[string]any{"memory_mb": 192, "sockets": 512},
-		"board": d.Board.Addr(), "known": map[string]any{"rev": 0, "notices": []any{}}, "settings": Settings(d.opt.Routers)})
-	if err != nil {
-		return nil, err
-	}
-	file := filepath.Join(d.dir, name+".json")
-	if err := os.WriteFile(file, text, 0o600); err != nil {
-		return nil, err
+	r = &Router{place: i, done: make(chan error, 1)}
+	if before != nil {
+		r.Addr, r.socket, r.starts = before.Addr, before.socket, before.starts+1
+	} else {
+		if r.Addr, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		if d.opt.Managed {
+			if r.socket, r.Addr, err = holdSocket(); err != nil {
+				return nil, err
+			}
+		}
+		if err := d.Configure(i, nil); err != nil {
+			return nil, err
+		}
 	}
-	r := &Router{Addr: addr, Log: filepath.Join(d.dir, name+".log"), done: make(chan error, 1)}
+	r.Log = filepath.Join(d.dir, fmt.Sprintf("%s-%d.log", name, r.starts))
 	log, err := os.Create(r.Log)
 	if err != nil {
 		return nil, err
@@ -268,7 +287,18 @@
 	if d.opt.Features != "" {
 		r.cmd.Args = append(r.cmd.Args, "--features", filepath.Join(d.dir, "features.jsonnet"))
 	}
-	r.cmd.Env = append(os.Environ(), "RELAY_NAME="+name, "RELAY_LISTEN="+addr, "RELAY_CONFIG="+file)
+	r.cmd.Env = append(os.Environ(), "RELAY_NAME="+name, "RELAY_LISTEN="+r.Addr, "RELAY_CONFIG="+d.config(i))
+	if d.opt.Managed {
+		if r.Manage, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		shelf := filepath.Join(d.dir, name)
+		if err := os.MkdirAll(shelf, 0o700); err != nil {
+			return nil, err
+		}
+		r.cmd.ExtraFiles = []*os.File{r.socket} // the first one is descriptor 3
+		r.cmd.Env = append(r.cmd.Env, "RELAY_MGMT="+r.Manage, "RELAY_SOCKET_FD=3", "TMPDIR="+shelf)
+	}
 	r.cmd.Stdout, r.cmd.Stderr = log, log
 	if err := r.cmd.Start(); err != nil {
 		return nil, err
@@ -277,6 +307,72 @@
 	return r, nil
 }
 
+// holdSocket opens a listening socket as the platform holds one: it stays open while processes come and go.
+func holdSocket() (*os.File, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	defer l.Close() // the file has a copy
+	f, err := l.(*net.TCPListener).File()
+	return f, l.Addr().String(), err
+}
+
+func (d *Deployment) config(i int) string { return filepath.Join(d.dir, fmt.Sprintf("n%d.json", i)) }
+
+// Configure writes a router's configuration; change, if not nil, may do what it likes with the document before. Routers take it on SIGHUP.
+func (d *Deployment) Configure(i int, change func(doc map[string]any)) error {
+	doc := map[string]any{"seed": fmt.Sprintf("%016x", 7919*(i+1)), "limits": map[string]any{"memory_mb": 192, "sockets": 512},
+		"board": d.Board.Addr(), "known": map[string]any{"rev": 0, "notices": []any{}}, "settings": Settings(d.opt.Routers)}
+	if change != nil {
+		change(doc)
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.config(i), text, 0o600)
+}
+
+// ReplaceRouter starts a router's program anew beside the process that serves, and ends that one with SIGTERM once the new one says yes.
+// It returns when the old one has ended.
+func (d *Deployment) ReplaceRouter(ctx context.Context, i int) error {
+	old := d.Routers[i]
+	next, err := d.start(i, old)
+	if err != nil {
+		return err
+	}
+	for begin := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if status, _, err := next.Call(ctx, http.MethodGet, "/api/ready"); err == nil && status == http.StatusOK {
+			break
+		}
+		if time.Since(begin) > upWithin*time.Millisecond {
+			return errors.Join(fmt.Errorf("the new process at %s says no", next.Manage), next.Kill())
+		}
+	}
+	d.Routers[i] = next
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return <-old.done
+}
+
+// Call is one call to the second address.
+func (r *Router) Call(ctx context.Context, method, path string) (status int, body string, err error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+r.Manage+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	a, err := client.Do(q)
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(a.Body, 1<<20))
+	return a.StatusCode, string(text), err
+}
+
 // await returns once the router says that it is ready.
 func (r *Router) await(ctx context.Context) error {
 	now := &clock.Clock{}
@@ -330,6 +426,9 @@
 		case <-time.After(6 * time.Second):
 			errs = append(errs, fmt.Errorf("router at %s did not end", r.Addr), r.cmd.Process.Kill())
 		}
+		if r.socket != nil {
+			r.socket.Close()
+		}
 	}
 	d.mu.Lock()
 	servers := d.servers
--- /dev/null
+++ b/lab/local/operate_test.go
@@ -0,0 +1,272 @@
+package local
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"spantack/internal/msgpackrpc"
+	"spantack/internal/router"
+)
+
+// call makes a call that is owed a yes.
+func call(t *testing.T, r *Router, method, path string) string {
+	t.Helper()
+	status, body, err := r.Call(t.Context(), method, path)
+	if err != nil || status != http.StatusOK {
+		t.Fatalf("%s %s: %d %q, %v", method, path, status, body, err)
+	}
+	return body
+}
+
+// figures reads the lines of the second address.
+func figures(t *testing.T, r *Router) map[string]int {
+	t.Helper()
+	list := map[string]int{}
+	for line := range strings.Lines(call(t, r, http.MethodGet, "/api/telemetry")) {
+		name, rest, found := strings.Cut(strings.TrimSuffix(line, "\n"), ":")
+		value, kind, typed := strings.Cut(rest, "|")
+		n, err := strconv.Atoi(value)
+		if !found || !typed || err != nil || kind != "c" && kind != "g" {
+			t.Fatalf("line %q", line)
+		}
+		list[name] = n
+	}
+	return list
+}
+
+// A router is replaced three times under load, with one cache taken out before the first and put back after the second: every request has
+// one right answer, none meets a closed door, no two attempts are out at once, and of requests sent between the yes and the call
+// back none reaches that cache, in whichever process.
+func TestReplacedWhileItServes(t *testing.T) {
+	const requests = 6000
+	d := start(t, Options{Routers: 1, Caches: 4, Delay: time.Millisecond, Managed: true})
+	var sent atomic.Int64
+	at := func(n int64) { // waits until so many requests have been sent
+		for sent.Load() < n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	out := d.Caches[1].Name()
+	ended := make(chan *Report, 1)
+	go func() {
+		rep, err := d.Run(t.Context(), Load{Seed: 11, Requests: requests, Every: 500 * time.Microsecond, Conns: 6, Families: 4, Objects: 200, Redial: true,
+			Sent: func(i int) { sent.Store(int64(i)) }})
+		if err != nil {
+			t.Error(err)
+		}
+		ended <- rep
+	}()
+	at(300)
+	call(t, d.Routers[0], http.MethodPut, "/api/exclude/"+out)
+	from := sent.Load() + 1
+	at(from + 200)
+	replace := func() {
+		if err := d.ReplaceRouter(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace()
+	call(t, d.Routers[0], http.MethodPut, "/api/exclude/"+out) // twice
+	replace()
+	to := sent.Load()
+	call(t, d.Routers[0], http.MethodPut, "/api/include/"+out)
+	back := sent.Load() + 1
+	replace()
+	rep := <-ended
+	all := rep.All()
+	if all.Served+all.Refused+all.Failed != requests || all.Wrong+all.Lost > 0 {
+		t.Errorf("answers %+v, want %d, none wrong or lost", all, requests)
+	}
+	if all.Served < requests*9/10 {
+		t.Errorf("only %d served of %d", all.Served, requests)
+	}
+	if crossed := d.Ledger.Overlaps(); len(crossed) > 0 {
+		t.Errorf("two attempts at once: %v", crossed)
+	}
+	between, after := 0, 0
+	for _, g := range d.Ledger.Gets() {
+		i, err := strconv.ParseInt(g.ID[8:], 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if g.Server != out && g.Next != out {
+			continue
+		}
+		switch {
+		case i >= from && i < to:
+			between++
+		case i >= back:
+			after++
+		}
+	}
+	if between > 0 {
+		t.Errorf("%d attempts at %s while it was out, requests %d to %d", between, out, from, to)
+	}
+	if after == 0 {
+		t.Errorf("%s got nothing after the call back", out)
+	}
+	waitLog(t, d.Routers[0], "taking over")
+	t.Logf("%d sent again, %d of %d requests while one was out", all.Again, to-from, requests)
+}
+
+// The figures are what clients and servers saw; an id that nobody knows is owed a no.
+func TestFiguresAreTrue(t *testing.T) {
+	const requests = 1500
+	d := start(t, Options{Routers: 1, Caches: 3, Delay: time.Millisecond, Managed: true})
+	r := d.Routers[0]
+	if status, _, err := r.Call(t.Context(), http.MethodPut, "/api/exclude/s-00000000"); err != nil || status != http.StatusNotFound {
+		t.Errorf("an unknown id: %d, %v", status, err)
+	}
+	call(t, r, http.MethodPut, "/api/exclude/"+d.Caches[0].Name())
+	rep, err := d.Run(t.Context(), Load{Seed: 12, Requests: requests, Every: 500 * time.Microsecond, Conns: 2, Families: 2, Objects: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := figures(t, r)
+	for _, class := range Classes {
+		c := rep.Class[class]
+		for name, want := range map[string]int{"succeeded": c.Served, "declined": c.Refused, "aborted": c.Failed} {
+			if got := f["app.results."+class+"."+name]; got != want {
+				t.Errorf("%s %s: %d told, clients had %d", class, name, got, want)
+			}
+		}
+	}
+	for name, want := range map[string]int{"app.outstanding": 0, "app.discovered": 3, "app.ejected": 1, "app.sighup_applied": 0, "app.sighup_rejected": 0} {
+		if got, told := f[name]; got != want || !told {
+			t.Errorf("%s: %d, want %d", name, got, want)
+		}
+	}
+	until(t, "forwards", func() bool { return figures(t, r)["app.forwards"] == len(d.Ledger.Gets()) }) // may lag behind the answer
+}
+
+// A file that can't be used is turned down whole: neither its classes nor its board hold. A good one holds for requests that come.
+func TestNewSettings(t *testing.T) {
+	d := start(t, Options{Routers: 1, Caches: 2, Managed: true})
+	r := d.Routers[0]
+	settings := func(doc map[string]any) map[string]any { return doc["settings"].(map[string]any) }
+	price := map[string]any{"Name": "price", "Promise": 400_000, "Deadline": 3_000_000, "Gain": 1, "LateWorth": 0, "Group": "all", "Idempotency": "read_like",
+		"MemorySpan": 0, "AimStretch": 2}
+	ask := func(class string, n int) (router.Answer, error) {
+		c, err := msgpackrpc.Dial(r.Addr, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.Do(t.Context(), router.Request{ID: fmt.Sprintf("%016x", n), Class: class, Object: Object(0, n), SizeKb: 20, Allow: 3000})
+	}
+	rejected := 0
+	for name, change := range map[string]func(doc map[string]any){
+		"a key of the document": func(doc map[string]any) { delete(doc, "settings"); doc["board"] = "127.0.0.1:9" },
+		"a key of Permissions":  func(doc map[string]any) { delete(settings(doc)["Permissions"].(map[string]any), "MaxAttempts") },
+		"a deadline below 0": func(doc map[string]any) {
+			price := map[string]any{"Name": "x", "Promise": 1, "Deadline": -5, "Gain": 1, "LateWorth": 0, "Group": "all", "Idempotency": "read_like", "MemorySpan": 0, "AimStretch": 1}
+			settings(doc)["Classes"], doc["board"] = []any{price}, "127.0.0.1:9"
+		},
+		"attempts that are no number": func(doc map[string]any) { settings(doc)["Permissions"].(map[string]any)["MaxAttempts"] = "many" },
+		"no attempts":                 func(doc map[string]any) { settings(doc)["Permissions"].(map[string]any)["MaxAttempts"] = 0 },
+	} {
+		if err := d.Configure(0, change); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		rejected++
+		until(t, name, func() bool { return figures(t, r)["app.sighup_rejected"] == rejected })
+	}
+	if a, err := ask("catalogue", 1); err != nil || a.Verdict != router.Served {
+		t.Errorf("after files that were turned down: %+v, %v", a, err)
+	}
+	if err := d.Configure(0, func(doc map[string]any) {
+		settings(doc)["Classes"] = append(settings(doc)["Classes"].([]any)[:1], price)
+		settings(doc)["Permissions"].(map[string]any)["MaxAttempts"] = 2
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a good file", func() bool { return figures(t, r)["app.sighup_applied"] == 1 })
+	if a, err := ask("price", 2); err != nil || a.Verdict != router.Served {
+		t.Errorf("a new class: %+v, %v", a, err)
+	}
+	if a, err := ask("catalogue", 3); err != nil || a.Verdict != router.Failed {
+		t.Errorf("a class that was dropped: %+v, %v", a, err)
+	}
+	if f := figures(t, r); f["app.sighup_rejected"] != rejected || f["app.results.price.succeeded"] != 1 || f["app.results.catalogue.succeeded"] != 1 {
+		t.Errorf("figures %v", f)
+	}
+}
+
+// until waits for what follows from a signal.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begin := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > saysWithin {
+			t.Fatalf("%s: never", what)
+		}
+	}
+}
+
+// An emptied router says no at both addresses, answers what it had, closes its clients' connections and runs on; then it works again.
+func TestEmptied(t *testing.T) {
+	d := start(t, Options{Routers: 1, Caches: 2, Delay: 100 * time.Millisecond, Managed: true})
+	r := d.Routers[0]
+	work := func(seed uint64) {
+		rep, err := d.Run(t.Context(), Load{Seed: seed, Requests: 50, Every: time.Millisecond, Conns: 1, Families: 1, Objects: 5})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if all := rep.All(); all.Served+all.Refused+all.Failed != 50 || all.Served == 0 {
+			t.Errorf("at work: %+v", all)
+		}
+	}
+	work(13)
+	before := len(d.Ledger.Gets())
+	c, err := msgpackrpc.Dial(r.Addr, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answers := make(chan router.Answer, 1)
+	go func() {
+		a, err := c.Do(t.Context(), router.Request{ID: "0000000000000001", Class: Classes[0], Object: Object(0, 1), SizeKb: 20, Allow: 3000})
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- a
+	}()
+	until(t, "a request out", func() bool { return len(d.Ledger.Gets()) > before })
+	call(t, r, http.MethodPut, "/api/evacuate")
+	if status, _, err := r.Call(t.Context(), http.MethodGet, "/api/ready"); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("ready while it is emptied: %d, %v", status, err)
+	}
+	if a := <-answers; a.Verdict != router.Served {
+		t.Errorf("what was open got %+v", a)
+	}
+	until(t, "the connection closed", func() bool {
+		_, err := c.Ready(t.Context())
+		return errors.Is(err, msgpackrpc.ErrClosed)
+	})
+	front, err := msgpackrpc.Dial(r.Addr, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer front.Close()
+	if ready, err := front.Ready(t.Context()); err != nil || ready {
+		t.Errorf("to the front: %v, %v", ready, err)
+	}
+	call(t, r, http.MethodPut, "/api/rejoin")
+	call(t, r, http.MethodGet, "/api/ready")
+	work(14)
+	if f := figures(t, r); f["app.outstanding"] != 0 {
+		t.Errorf("figures %v", f)
+	}
+}
