Put the shield of the head office in the gate: a brownout no longer ends in a jam

core/cells now reckons what its fills ask of the head office: attempts out by the part that came to it of late, those that ask it straight whole, and each that was given up unanswered whole for as long as an area cache may go on with it. rules gets the room that is left as its bound on fills behind (Confine.Behind, as before); past that it asks for held copies. A features section shield, a line at SIGUSR1, spanctl check; off by default.

--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -66,6 +66,9 @@
 	if s := f.Shape.Shape; f.Shape.Enabled {
 		fmt.Fprintf(out, "shape: on, version %d, %d depots, %d areas, %d ways\n", s.Version, len(s.Depots), len(s.Areas), len(s.Ways))
 	}
+	if d := f.Guard(); d != nil {
+		fmt.Fprintf(out, "shield: on, %s, %v at once, %v of them kept for uncacheable requests\n", d.Law, d.Most, d.Reserve)
+	}
 	return nil
 }
 
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, none, fmt.Errorf("%s: %w", file, err)
 	}
-	return f, router.Frame{Cells: a, Moves: f.Document(), Release: f.Release(), Shape: g}, nil
+	return f, router.Frame{Cells: a, Moves: f.Document(), Release: f.Release(), Shape: g, Shield: f.Guard()}, nil
 }
 
 // reload brings the configuration for a SIGHUP.
@@ -314,6 +314,9 @@
 		Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).Int64("gone", n.Gone.Load()).
 		Int64("overdue", n.Overdue.Load()).Int64("faults", n.Faults.Load()).Int64("client_faults", clientFaults).Int64("gave_way", gaveWay).
 		Int64("turned_away", turnedAway).Msg("counters")
+	if g := core.Guard(); g != nil {
+		log.Info().Float64("limit", g.Limit).Float64("share", g.Share).Int("out", g.Out).Int("given_up", g.GivenUp).Float64("deep", g.Deep).Msg("shield")
+	}
 	p, demand := core.Cells()
 	if p == nil {
 		return
--- a/core/cells/gate.go
+++ b/core/cells/gate.go
@@ -168,6 +168,7 @@
 	behind   []moves.Server // area caches listed
 	lookedAt int64          // when rooms were last measured
 	stage    *stages.Progress
+	guard    *guard         // nil: nothing bounds what fills ask of the head office but rules
 	says     []rules.Action // for the log
 
 	requests, fills, parents, origin, puts *tree
@@ -236,8 +237,8 @@
 		for i := range m.cells {
 			m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Set: i + 1}})
 		}
-		m.rules.Step(now, []rules.Event{{Kind: rules.Confine}})
 		m.assigned, m.spec, m.cells, m.tenants = nil, nil, nil, nil
+		m.capBehind(now, true)
 		m.doc, m.paths, m.stage = nil, nil, nil
 		clear(m.open)
 		return
@@ -304,7 +305,7 @@
 	m.parents = newTree(spec.Budget.ParentKbPerS/tier, shares, give)
 	m.origin = newTree(spec.Budget.OriginKbPerS/tier, shares, give)
 	m.most = spec.Budget.Open
-	m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Behind: float64(spec.Budget.OriginOpen) / tier}})
+	m.capBehind(now, true)
 	m.divide(now)
 	m.bind(now)
 }
@@ -338,7 +339,7 @@
 // Step takes what came in at a time and returns what to do, in order.
 func (m *Module) Step(now int64, events []rules.Event) []rules.Action {
 	var acts []rules.Action
-	if m.spec == nil && m.up.graph == nil {
+	if m.spec == nil && m.up.graph == nil && m.guard == nil {
 		for i := range events {
 			if events[i].Kind == rules.Members {
 				m.note(&events[i])
@@ -361,9 +362,11 @@
 			}
 		case rules.Outcome:
 			m.filled(now, ev)
+			m.guarded(now, ev)
 			m.outcome(now, ev)
 		case rules.Gone:
 			m.filled(now, ev)
+			m.guarded(now, ev)
 			m.over(ev.Call)
 		case rules.Members:
 			m.note(ev)
@@ -374,6 +377,8 @@
 		next := m.rules.Step(now, events[i:i+1])
 		m.answered(now, next)
 		m.asks(next)
+		m.guards(next)
+		m.capBehind(now, false)
 		if ev.Kind == rules.Members {
 			if m.spec != nil {
 				m.divide(now)
--- /dev/null
+++ b/core/cells/guarding_test.go
@@ -0,0 +1,196 @@
+package cells
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"spantack/core/shield"
+	"spantack/rules"
+)
+
+var guardDoc = shield.Document{Law: "gradient", Most: 24, Reserve: 0.1, Burst: 3, UsualMs: 60, LingerMs: 2000}
+
+// guarded is a module with four caches, two area caches and the head office; its router is one of two.
+func guarded(t testing.TB, doc *shield.Document) *Module {
+	t.Helper()
+	set := rules.Settings{
+		Classes: []rules.Class{{Name: "page", Deadline: 3_000_000, Promise: 600_000, AimStretch: 2, Gain: 1, Idempotency: "read_like", Group: "all"}},
+		Extra:   rules.Extra{MasterKind: 2, ShieldKind: 1, NotesGiven: "all", PaceKbPerS: 2000, Straight: true},
+		Kinds:   []string{"box", "area", "origin"}, Permissions: rules.Permissions{Cancelling: true, MaxAttempts: 4, MaxRetryAfter: 1_000_000},
+		Siblings: 2, Zone: "z", Zones: []string{"hub", "z"},
+	}
+	m, err := NewModule(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := []rules.Row{{Node: "o", Zone: "hub", Kind: "origin", Status: "healthy", Weight: 400}, {Node: "p0", Zone: "hub", Kind: "area", Status: "healthy", Weight: 400},
+		{Node: "p1", Zone: "hub", Kind: "area", Status: "healthy", Weight: 400}}
+	for i := range 4 {
+		rows = append(rows, rules.Row{Node: fmt.Sprint("c", i), Zone: "z", Kind: "box", Status: "healthy", Weight: 400})
+	}
+	m.Step(0, []rules.Event{{Kind: rules.Members, Mode: "replace", Rows: rows}})
+	if err := m.Shield(0, doc); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// asked is an attempt under way.
+type asked struct {
+	rules.Action
+	attempt int
+}
+
+// play keeps requests coming, 1 ms apart, and ends each attempt after took ms as end says; it returns the most that were out at the head office
+// at once, by way of an area cache and asked to fill, and how many were asked for held copies alone.
+func play(m *Module, from, n int, took int64, end func(i int) rules.Event) (most, held int) {
+	out := map[int64][]asked{}
+	deep := 0
+	note := func(now int64, acts []rules.Action, attempt int) {
+		for _, a := range acts {
+			if a.Kind != rules.Get {
+				continue
+			}
+			out[now+took] = append(out[now+took], asked{a, attempt})
+			if a.Source == "" || a.Source == a.Node || a.How&rules.HeldOnly != 0 {
+				held++
+			} else {
+				deep++
+			}
+		}
+		most = max(most, deep)
+	}
+	for i := from; i < from+n || len(out) > 0; i++ {
+		now := int64(i)
+		for _, a := range out[now] {
+			ev := end(i)
+			if a.Source == "" || a.Source == a.Node || a.How&rules.HeldOnly != 0 {
+				ev = rules.Event{Code: rules.Miss}
+			} else {
+				deep--
+			}
+			ev.Kind, ev.Call, ev.Attempt, ev.Node, ev.Rtt = rules.Outcome, a.Call, a.attempt, a.Node, took*1000
+			ev.Final = ev.Code == rules.Done
+			note(now, m.Step(now*1000, []rules.Event{ev}), a.attempt+1)
+		}
+		delete(out, now)
+		if i < from+n {
+			call := fmt.Sprint(i)
+			note(now, m.Step(now*1000, []rules.Event{{Kind: rules.Request, Call: call, Class: "page", Object: call, SizeKb: 1, ExpiresIn: 3_000_000}}), 0)
+		}
+	}
+	return most, held
+}
+
+func deepAnswer(waitMs int64) func(int) rules.Event {
+	return func(int) rules.Event {
+		return rules.Event{Code: rules.Done, Note: noteDeep, UpstreamWait: waitMs * 1000}
+	}
+}
+
+// Where every fill comes to the head office and it becomes slow, what this router has out there comes down from what is borrowed to its
+// share, less what is kept for others; the rest is asked for held copies.
+func TestShieldBoundsFills(t *testing.T) {
+	m := guarded(t, &guardDoc)
+	play(m, 0, 3000, 60, deepAnswer(55)) // the part of fills that come to the head office is learnt
+	calm, _ := play(m, 4000, 2000, 60, deepAnswer(55))
+	share := guardDoc.Most / 2
+	if most := guardDoc.Burst * share / 0.9; float64(calm) > most || float64(calm) < share {
+		t.Errorf("calm: %d out at most; the share is %v, %v with all that may be borrowed", calm, share, most)
+	}
+	play(m, 7000, 2000, 400, deepAnswer(390))
+	slow, held := play(m, 10_000, 2000, 400, deepAnswer(390))
+	if float64(slow) > share+1 || held < 100 || slow == 0 {
+		t.Errorf("slow: %d out at most, of a share of %v; %d asked for held copies", slow, share, held)
+	}
+	bare := guarded(t, nil)
+	play(bare, 0, 3000, 60, deepAnswer(55))
+	if most, _ := play(bare, 4000, 2000, 400, deepAnswer(390)); float64(most) < 3*share {
+		t.Errorf("without a shield: %d out at most, so the day shows nothing", most)
+	}
+}
+
+// What was given up counts for as long as an area cache may go on with it: then no more than the limit has been sent up since, dropped or not.
+func TestShieldCountsWhatWasGivenUp(t *testing.T) {
+	m := guarded(t, &guardDoc)
+	play(m, 0, 3000, 60, deepAnswer(55))
+	lost := func(int) rules.Event { return rules.Event{Code: rules.TimedOut} }
+	sent := 0
+	for i := range 10 { // a second in tenths: every attempt ends unanswered after 50 ms
+		before := m.GuardNow().GivenUp
+		play(m, 4000+150*i, 50, 50, lost)
+		sent += m.GuardNow().GivenUp - before
+	}
+	if most := guardDoc.Burst * guardDoc.Most / 2; float64(sent) > 2*most {
+		t.Errorf("%d sent up and given up within 1.5 s, with a limit of %v", sent, most)
+	}
+	if n := m.GuardNow().GivenUp; n == 0 {
+		t.Error("nothing is reckoned to go on")
+	}
+	m.Step(20_000_000, []rules.Event{{Kind: rules.Timer}})
+	if n := m.GuardNow().GivenUp; n != 0 {
+		t.Errorf("%d are reckoned to go on 14 s later", n)
+	}
+}
+
+// Whatever comes back, the books are even at the end, and what is reckoned stays in its bounds.
+func TestShieldBooksEven(t *testing.T) {
+	codes := []rules.Code{rules.Done, rules.Failed, rules.Busy, rules.TimedOut, rules.Refused, rules.Reset, rules.Miss}
+	rapid.Check(t, func(t *rapid.T) {
+		doc := guardDoc
+		doc.Law = rapid.SampledFrom([]string{"fixed", "aimd", "gradient", "delay"}).Draw(t, "law")
+		m := guarded(&testing.T{}, &doc)
+		draw := rapid.SliceOfN(rapid.IntRange(0, 11*len(codes)-1), 1, 200).Draw(t, "ends")
+		play(m, 0, len(draw), int64(rapid.IntRange(1, 80).Draw(t, "took")), func(i int) rules.Event {
+			d := draw[i%len(draw)]
+			return rules.Event{Code: codes[d%len(codes)], Note: d / len(codes), UpstreamWait: int64(d) * 9000}
+		})
+		g := m.guard
+		m.Step(1e9, []rules.Event{{Kind: rules.Timer}})
+		now := m.GuardNow()
+		if now.Out != 0 || g.whole != 0 || now.GivenUp != 0 || now.Deep < 0 || now.Deep > 1 || now.Limit <= 0 || now.Limit > doc.Burst*now.Share {
+			t.Fatalf("%+v, %d straight", now, g.whole)
+		}
+	})
+}
+
+// Off, the gate acts as if it were not there; a document that can't be used changes nothing.
+func TestShieldOff(t *testing.T) {
+	m, bare := guarded(t, &guardDoc), guarded(t, nil)
+	bad := guardDoc
+	bad.Burst = 0
+	if err := m.Shield(0, &bad); err == nil || m.GuardNow() == nil || m.guard.doc != guardDoc {
+		t.Errorf("a document that can't be: %v", err)
+	}
+	if err := m.Shield(0, nil); err != nil || m.GuardNow() != nil {
+		t.Fatal(err)
+	}
+	for i := range 500 {
+		ev := []rules.Event{{Kind: rules.Request, Call: fmt.Sprint(i), Class: "page", Object: fmt.Sprint(i % 40), SizeKb: 1, ExpiresIn: 3_000_000}}
+		if a, b := m.Step(int64(i)*1000, ev), bare.Step(int64(i)*1000, ev); !reflect.DeepEqual(a, b) {
+			t.Fatalf("request %d: %+v with it off, %+v without", i, a, b)
+		}
+	}
+}
+
+func BenchmarkGateShielded(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprintf("shield=%v", on), func(b *testing.B) {
+			m := guarded(b, nil)
+			if on {
+				if err := m.Shield(0, &guardDoc); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now, call := int64(i)*1000, "call"
+				acts := m.Step(now, []rules.Event{{Kind: rules.Request, Call: call, Class: "page", Object: "o", SizeKb: 1, ExpiresIn: 3_000_000}})
+				m.Step(now+500, []rules.Event{{Kind: rules.Outcome, Call: call, Node: acts[0].Node, Code: rules.Done, Final: true, Note: 1 + i%3, Rtt: 500, UpstreamWait: 300}})
+			}
+		})
+	}
+}
--- a/core/cells/staging.go
+++ b/core/cells/staging.go
@@ -10,10 +10,11 @@
 
 // Notes of an attempt that tell of its fill.
 const (
-	noteFilled = 2 // from the source
-	noteDeep   = 3 // through it from the head office
-	noteBad    = 6 // this and greater ones: the fill failed
-	noteLost   = 7 // its source is not there, or failed
+	noteFilled = 2  // from the source
+	noteDeep   = 3  // through it from the head office
+	noteBad    = 6  // this and greater ones: the fill failed
+	noteLost   = 7  // its source is not there, or failed
+	noteRoot   = 10 // the head office failed behind it
 )
 
 // FitsStage holds a stage against an assignment: its rings must name cells, and leave one without the release to compare with.
--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -93,4 +93,14 @@
       { from: 'east', to: 'head-office', kbPerS: 60000, ms: 20 },
     ],
   },
+  // A limit on what fills ask of the head office, of all routers together: docs/hierarchy.md. It works with a shape and without.
+  shield: {
+    enabled: false,
+    law: 'gradient',  // or aimd, delay, fixed: how a router's limit follows the times of its own fills
+    most: 40,  // fills at the head office at once that it answers in its usual time
+    reserve: 0.1,  // part of them left to uncacheable requests
+    burst: 3,  // shares that a router may borrow while fills take no longer than usual
+    usualMs: 90,  // to the first byte of a fill by way of the head office, when it is not crowded
+    lingerMs: 3000,  // how long an area cache may go on with a fetch that nobody waits for
+  },
 }
--- a/emulator/config.go
+++ b/emulator/config.go
@@ -13,6 +13,7 @@
 	"spantack/core/cells"
 	"spantack/core/hierarchy"
 	"spantack/core/moves"
+	"spantack/core/shield"
 	"spantack/core/stages"
 	"spantack/rules"
 )
@@ -58,6 +59,7 @@
 
 	Release *Release         `json:"release,omitempty"`
 	Shape   *hierarchy.Shape `json:"-"` // nil: fills go to all area caches alike
+	Shield  *shield.Document `json:"-"` // nil: no limit at the head office but that of rules
 
 	Changes []Change `json:"-"`                // of cells and moves, in the order of their times
 	Movers  []int    `json:"-"`                // tenants counted apart
@@ -327,3 +329,8 @@
 
 // TenantPrefix is how the objects of a tenant begin.
 func TenantPrefix(tenant int) string { return fmt.Sprintf("%04x", tenant) }
+
+// ShieldBy is the document of the head office's shield under a law, as staff who know the head office would write it.
+func (c *Config) ShieldBy(law string) *shield.Document {
+	return &shield.Document{Law: law, Most: c.originKnee(), Reserve: 0.1, Burst: 3, UsualMs: ms2(2*hubWay + 2*originWay + originAsk), LingerMs: 3000}
+}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -222,6 +222,11 @@
 			return nil, err
 		}
 	}
+	if cfg.Shield != nil {
+		if _, _, err := cfg.Shield.Terms(cfg.Depots * cfg.Routers); err != nil {
+			return nil, fmt.Errorf("shield.%w", err)
+		}
+	}
 	if cfg.Shape != nil {
 		var err error
 		if w.shape, err = hierarchy.Compile(cfg.Shape); err != nil {
@@ -353,6 +358,11 @@
 		return err
 	}
 	module.Ahead = r.ahead
+	if w.cfg.Shield != nil {
+		if err := module.Shield(w.now, w.cfg.Shield); err != nil { // it was checked with the world
+			panic(err)
+		}
+	}
 	if w.shape != nil {
 		module.Shape(w.now, w.shape)
 	}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -18,6 +18,7 @@
 	"spantack/core/cells"
 	"spantack/core/hierarchy"
 	"spantack/core/moves"
+	"spantack/core/shield"
 	"spantack/core/stages"
 	"spantack/rules"
 )
@@ -27,10 +28,11 @@
 
 // File is one features file. A feature that is left out is off.
 type File struct {
-	Cells Cells `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
-	Moves Moves `json:"moves,omitempty" jsonschema_description:"tenants on their way from cell to cell; docs/moves.md"`
-	Stage Stage `json:"stage,omitempty" jsonschema_description:"a release let into cells ring by ring; docs/stages.md"`
-	Shape Shape `json:"shape,omitempty" jsonschema_description:"who fills from whom; docs/hierarchy.md"`
+	Cells  Cells  `json:"cells,omitempty" jsonschema_description:"tenants confined to subsets of a depot's caches; docs/cells.md"`
+	Moves  Moves  `json:"moves,omitempty" jsonschema_description:"tenants on their way from cell to cell; docs/moves.md"`
+	Stage  Stage  `json:"stage,omitempty" jsonschema_description:"a release let into cells ring by ring; docs/stages.md"`
+	Shape  Shape  `json:"shape,omitempty" jsonschema_description:"who fills from whom; docs/hierarchy.md"`
+	Shield Shield `json:"shield,omitempty" jsonschema_description:"a limit on what fills ask of the head office; docs/hierarchy.md"`
 }
 
 // Cells is the feature of that name.
@@ -57,6 +59,20 @@
 	hierarchy.Shape
 }
 
+// Shield is the feature of that name.
+type Shield struct {
+	Enabled bool `json:"enabled"`
+	shield.Document
+}
+
+// Guard is the shield's document; nil while the feature is off.
+func (f *File) Guard() *shield.Document {
+	if f == nil || !f.Shield.Enabled {
+		return nil
+	}
+	return &f.Shield.Document
+}
+
 // Graph is the shape worked out; nil while the feature is off.
 func (f *File) Graph() (*hierarchy.Graph, error) {
 	if f == nil || !f.Shape.Enabled {
@@ -138,6 +154,11 @@
 	if _, err := f.Graph(); err != nil {
 		return err
 	}
+	if d := f.Guard(); d != nil {
+		if _, _, err := d.Terms(1); err != nil {
+			return fmt.Errorf("shield: %w", err)
+		}
+	}
 	spec, doc := f.Spec(), f.Document()
 	if spec != nil {
 		if err := spec.Check(); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"sync"
@@ -14,6 +15,7 @@
 	"spantack/core/hierarchy"
 	"spantack/core/moves"
 	"spantack/core/roster"
+	"spantack/core/shield"
 	"spantack/core/stages"
 	"spantack/internal/clock"
 	"spantack/rules"
@@ -157,17 +159,18 @@
 // unanswered is lost. It is called once.
 func (r *Router) Finish() { close(r.finish) }
 
-// Frame is what a features file sets: an assignment of cells, a document of moves and a release that fit it, and a shape of the hierarchy.
-// nil: none.
+// Frame is what a features file sets: an assignment of cells, a document of moves and a release that fit it, a shape of the hierarchy, and a shield of the head
+// office. nil: none.
 type Frame struct {
 	Cells   *cells.Assignment
 	Moves   *moves.Document
 	Release *stages.Stage
 	Shape   *hierarchy.Graph
+	Shield  *shield.Document
 }
 
-// Put puts a frame in force before it returns. No request sees a part without the others. Its error is that of the release, which is then
-// not in force.
+// Put puts a frame in force before it returns. No request sees a part without the others. Its error is that of the release or the shield, which
+// is then not in force.
 func (r *Router) Put(f Frame) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,7 +178,14 @@
 	r.rules.Shape(r.last, f.Shape)
 	r.rules.Confine(r.last, f.Cells)
 	r.rules.Move(r.last, f.Moves)
-	return r.rules.Stage(r.last, f.Release)
+	return errors.Join(r.rules.Stage(r.last, f.Release), r.rules.Shield(r.last, f.Shield))
+}
+
+// Guard tells how the shield of the head office stands; nil without one.
+func (r *Router) Guard() *cells.GuardNow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.GuardNow()
 }
 
 // Turn lets the time of moves and of a release pass while no request comes.
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -49,10 +49,11 @@
 	Limit  float64 `json:"limit,omitempty"`
 	// DropFetches lets area caches end what nobody waits for any more.
 	DropFetches bool                      `json:"dropFetches,omitempty"`
-	Law         string                    `json:"law,omitempty"`   // of a trial of limits
-	Burst       float64                   `json:"burst,omitempty"` // of its limits
-	Shape       string                    `json:"shape,omitempty"` // style of the hierarchy's shape; none: all area caches alike
-	Trip        map[string]*emulator.Trip `json:"trip,omitempty"`  // by size
+	Law         string                    `json:"law,omitempty"`    // of a trial of limits
+	Burst       float64                   `json:"burst,omitempty"`  // of its limits
+	Shield      string                    `json:"shield,omitempty"` // law of the head office's shield; none: rules alone
+	Shape       string                    `json:"shape,omitempty"`  // style of the hierarchy's shape; none: all area caches alike
+	Trip        map[string]*emulator.Trip `json:"trip,omitempty"`   // by size
 }
 
 // Count is a number, or one for each size.
@@ -248,6 +249,9 @@
 	}
 	cfg.Seed, cfg.Flood, cfg.Poison, cfg.Faults, cfg.Limit = seed, day.Flood, day.Poison, day.Faults, arm.Limit
 	cfg.SkewMs, cfg.DropFetches = day.SkewMs, arm.DropFetches
+	if arm.Shield != "" {
+		cfg.Shield = cfg.ShieldBy(arm.Shield)
+	}
 	if arm.Shape != "" {
 		var err error
 		if cfg.Shape, err = cfg.Hierarchy(arm.Shape); err != nil {
