--- a/emulator/config.go
+++ b/emulator/config.go
@@ -330,7 +330,12 @@
 // TenantPrefix is how the objects of a tenant begin.
 func TenantPrefix(tenant int) string { return fmt.Sprintf("%04x", tenant) }
 
-// ShieldBy is the document of the head office's shield under a law, as staff who know the head office would write it.
-func (c *Config) ShieldBy(law string) *shield.Document {
-	return &shield.Document{Law: law, Most: c.originKnee(), Reserve: 0.1, Burst: 3, UsualMs: ms2(2*hubWay + 2*originWay + originAsk), LingerMs: 3000}
+// ShieldBy is the document of the head office's shield under a law, as staff who know the head office would write it: a fill takes twice the way
+// on a usual day, and an area cache goes on with a fetch for longer than any client waits. With forget, nothing is reckoned to go on.
+func (c *Config) ShieldBy(law string, forget bool) *shield.Document {
+	d := &shield.Document{Law: law, Most: c.originKnee(), Reserve: 0.1, Burst: 2, UsualMs: 2 * ms2(2*hubWay+2*originWay+originAsk), LingerMs: 10_000}
+	if forget {
+		d.LingerMs = 0
+	}
+	return d
 }
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -52,6 +52,7 @@
 	Law         string                    `json:"law,omitempty"`    // of a trial of limits
 	Burst       float64                   `json:"burst,omitempty"`  // of its limits
 	Shield      string                    `json:"shield,omitempty"` // law of the head office's shield; none: rules alone
+	Forget      bool                      `json:"forget,omitempty"` // the shield does not count fetches that were given up
 	Shape       string                    `json:"shape,omitempty"`  // style of the hierarchy's shape; none: all area caches alike
 	Trip        map[string]*emulator.Trip `json:"trip,omitempty"`   // by size
 }
@@ -250,7 +251,7 @@
 	cfg.Seed, cfg.Flood, cfg.Poison, cfg.Faults, cfg.Limit = seed, day.Flood, day.Poison, day.Faults, arm.Limit
 	cfg.SkewMs, cfg.DropFetches = day.SkewMs, arm.DropFetches
 	if arm.Shield != "" {
-		cfg.Shield = cfg.ShieldBy(arm.Shield)
+		cfg.Shield = cfg.ShieldBy(arm.Shield, arm.Forget)
 	}
 	if arm.Shape != "" {
 		var err error
