Keep some connections to servers however small the descriptor limit

Read while looking at halved limits: with 64 descriptors, the least that a configuration may have, 21 go to clients and 48 are spare, so the bound on connections to servers was -5 and every attempt was skipped. Eight are kept now, out of the spare ones. Larger limits are shared out as before.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -56,6 +56,8 @@
 	turnEvery = 500
 	// spareSockets are for the listener, the board, logs and connections on their way out.
 	spareSockets = 48
+	// leastConns there may be to servers, whatever the limits: with none a router would refuse all. They come out of the spare ones.
+	leastConns = 8
 )
 
 // flags are the command line; all else comes from the environment. Without flags nothing new is on.
@@ -104,6 +106,13 @@
 	return f, router.Frame{Cells: a, Moves: f.Document(), Release: f.Release(), Shape: g, Shield: f.Guard()}, nil
 }
 
+// connections shares descriptors and bytes of memory out: how many connections clients may hold, and how many there may be to servers.
+func connections(sockets int, memory float64) (clients, servers int) {
+	clients = sockets / clientShare
+	servers = max(min(sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody)), leastConns)
+	return max(clients, min(sockets-servers-spareSockets, int(extraShare*memory/clientBytes))), servers
+}
+
 // reload brings the configuration for a SIGHUP.
 type reload func() (*config.Config, error)
 
@@ -137,9 +146,7 @@
 		memory, sockets = memory/2, sockets/2
 	}
 	debug.SetMemoryLimit(int64(memoryShare * memory))
-	clients := sockets / clientShare
-	mostConns := min(sockets-clients-spareSockets, int(bodyShare*memory/resp.MaxBody))
-	clients = max(clients, min(sockets-mostConns-spareSockets, int(extraShare*memory/clientBytes)))
+	clients, mostConns := connections(sockets, memory)
 	pools := resp.NewPools(serving, resp.Options{DialTimeout: c.DialTimeout, IdleClose: c.IdleClose,
 		MaxStreams: c.MaxStreams, MostConns: mostConns, MostWait: c.MostWait}, now, log)
 	core, err := router.New(c.Settings, c.Seed, now, pools, log)
--- a/cmd/spantack/main_test.go
+++ b/cmd/spantack/main_test.go
@@ -96,3 +96,17 @@
 		t.Error(err)
 	}
 }
+
+// However small the limits, and halved for two processes, there are connections to servers and for clients, and not more than descriptors.
+func TestConnections(t *testing.T) {
+	for _, c := range []struct {
+		sockets          int
+		memoryMB         float64
+		clients, servers int
+	}{{1024, 192, 708, 268}, {384, 64, 247, 89}, {192, 32, 100, 44}, {64, 32, 21, 8}, {32, 16, 10, 8}} {
+		clients, servers := connections(c.sockets, c.memoryMB*(1<<20))
+		if clients != c.clients || servers != c.servers {
+			t.Errorf("%d descriptors, %v MB: %d for clients, %d to servers", c.sockets, c.memoryMB, clients, servers)
+		}
+	}
+}
