spanctl router: the calls of the second address, at many routers at once

Need: staff take a cache out at every router of a depot, and want to see which of them said no. A no at one keeps none of the others from the call; the exit code and the error name those that said no or nothing. Tested against two servers of internal/manage, one of which does not know the id.

--- a/cmd/spanctl/main.go
+++ b/cmd/spanctl/main.go
@@ -1,5 +1,5 @@
-// Command spanctl is for operators: it checks a features file, tells what it does to a request, and plans assignments. It
-// works on files alone and speaks to no router.
+// Command spanctl is for operators: it checks a features file, tells what it does to a request, and plans assignments, from files alone. `spanctl
+// router` makes the calls of routers' second addresses.
 package main
 
 import (
@@ -22,10 +22,11 @@
 )
 
 type cli struct {
-	Check checkCmd `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
-	Shape shapeCmd `cmd:"" help:"Who fills from whom: show, diff, plan."`
-	Stage stageCmd `cmd:"" help:"Releases let into cells ring by ring: start, status, stop."`
-	Cells cellsCmd `cmd:"" help:"Cells: show, explain, diff, plan; and tenants that move between them: moves, move, empty, hold, resume, back, settle."`
+	Check  checkCmd  `cmd:"" help:"Checks a features file as the router would; one line for the first fault, exit code 1."`
+	Shape  shapeCmd  `cmd:"" help:"Who fills from whom: show, diff, plan."`
+	Stage  stageCmd  `cmd:"" help:"Releases let into cells ring by ring: start, status, stop."`
+	Router routerCmd `cmd:"" help:"Running routers, by their second addresses: ready, figures, exclude, include, evacuate, rejoin."`
+	Cells  cellsCmd  `cmd:"" help:"Cells: show, explain, diff, plan; and tenants that move between them: moves, move, empty, hold, resume, back, settle."`
 }
 
 type stageCmd struct {
--- /dev/null
+++ b/cmd/spanctl/router_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"spantack/core/roster"
+	"spantack/internal/manage"
+)
+
+// Calls reach every router that is named, also where one says no, and the exit tells of that.
+func TestRouterCalls(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	router := func(knows string) (string, *atomic.Int64) {
+		calls := &atomic.Int64{}
+		on := &atomic.Bool{}
+		on.Store(true)
+		by := func(id string) error {
+			if id != knows {
+				return roster.ErrUnknown
+			}
+			calls.Add(1)
+			return nil
+		}
+		s := &manage.Server{Ready: on.Load, Exclude: by, Include: by, Evacuate: func() { on.Store(false) }, Rejoin: func() { on.Store(true) }, Log: zerolog.Nop(),
+			Figures: func() []manage.Figure { return []manage.Figure{{Name: "outstanding", Value: 3, Gauge: true}} }}
+		l, err := manage.Listen(ctx, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { ended <- s.Serve(ctx, l) }()
+		return l.Addr().String(), calls
+	}
+	one, oneCalls := router("s-1")
+	two, twoCalls := router("s-2")
+	command(t, "router ready "+one+" "+two, one+" yes\n"+two+" yes\n", "")
+	command(t, "router figures "+one, one+" app.outstanding:3|g\n", "")
+	command(t, "router exclude s-2 "+one+" "+two, two+" yes\n", one+": no: 404 id: no such server is listed")
+	command(t, "router include s-1 "+one, one+" yes\n", "")
+	if oneCalls.Load() != 1 || twoCalls.Load() != 1 {
+		t.Errorf("%d and %d calls", oneCalls.Load(), twoCalls.Load())
+	}
+	command(t, "router evacuate "+one, "yes", "")
+	command(t, "router ready "+one+" "+two, two+" yes\n", one+": no: 503 no")
+	command(t, "router rejoin "+one, "yes", "")
+	command(t, "router ready "+one, "yes", "")
+	command(t, "router exclude a/b "+one, "", "no: 404")
+	stop()
+	for range 2 {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	command(t, "router ready "+one, "", one)
+}
