Keep what is out when its file is lost; one piece that adopts it, one bound on fills

Reading the file of outs and adopting it stood three times, each a little different, and one of them took a missing file for an empty list: the next call would have undone every other ban. Shelf.Restore is the one piece now; a file that is missing or spoilt changes nothing, and an empty list is written as one. A test loses the file, and puts the last one back. The gate's bound on fills behind worked the assignment's part out twice, and on each event without a shield; once now.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -177,13 +177,7 @@
 			return err
 		}
 	}
-	ids, err := shelf.Outs()
-	if err == nil {
-		err = core.Adopt(ids)
-	}
-	if err != nil { // a file that can't be read must not keep the router from its work
-		log.Warn().Err(err).Msg("what is out can't be read")
-	}
+	shelf.Restore(core.Adopt)
 	for _, n := range c.Notices {
 		apply(n)
 	}
--- a/core/cells/guarding.go
+++ b/core/cells/guarding.go
@@ -113,28 +113,29 @@
 
 // capBehind tells rules how many attempts that may ask the head office may be out: by the shield, and by the assignment's own bound.
 func (m *Module) capBehind(now int64, always bool) {
-	most := 0.0
+	g := m.guard
+	if g == nil && !always {
+		return
+	}
+	most := 0.0 // none
 	if m.spec != nil {
 		most = float64(m.spec.Budget.OriginOpen) / float64(max(m.set.Siblings, 1))
 	}
-	if g := m.guard; g != nil {
+	if g != nil {
 		for len(g.left) > 0 && g.left[0] <= now {
 			g.left = g.left[1:]
 		}
 		part := max(g.deep, deepLeast)
 		gone := float64(len(g.left) + g.whole)
 		g.limit.Hold(int(math.Round(float64(len(g.out)-g.whole)*part + gone)))
-		free := max(g.limit.Now()*(1-g.doc.Reserve)-gone, 0)
-		most = max(leastCap, free/part)
-		if m.spec != nil && m.spec.Budget.OriginOpen > 0 {
-			most = min(most, float64(m.spec.Budget.OriginOpen)/float64(max(m.set.Siblings, 1)))
+		free := max(leastCap, max(g.limit.Now()*(1-g.doc.Reserve)-gone, 0)/part)
+		if most == 0 || free < most {
+			most = free
 		}
 		if !always && math.Abs(most-g.cap) <= capStep*g.cap {
 			return
 		}
 		g.cap = most
-	} else if !always {
-		return
 	}
 	m.rules.Step(now, []rules.Event{{Kind: rules.Confine, Behind: most}})
 }
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -247,6 +247,24 @@
 	if got := outs(old)(); slices.Contains(got, "a") {
 		t.Errorf("the other process still has %v out", got)
 	}
+	if err := os.Remove(filepath.Join(dir, outsFile)); err != nil {
+		t.Fatal(err)
+	}
+	if err := change(fresh, "b", false); err != nil { // a file that was lost undoes nothing
+		t.Fatal(err)
+	}
+	if got := outs(fresh)(); len(got) != 41 {
+		t.Errorf("%d are out after the file was lost", len(got))
+	}
+	for _, id := range outs(fresh)() {
+		if err := change(fresh, id, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old.shelf.Restore(adopt(old))
+	if got := outs(old)(); len(got) != 0 {
+		t.Errorf("the last one put back is still out at the other process: %v", got)
+	}
 	left, err := filepath.Glob(filepath.Join(dir, "*"))
 	if err != nil || len(left) != 2 {
 		t.Errorf("files left: %v, %v", left, err)
--- a/internal/manage/shelf.go
+++ b/internal/manage/shelf.go
@@ -73,6 +73,21 @@
 	return ids, err
 }
 
+// Restore adopts what is out by the file. One that is missing or can't be read changes nothing: it must neither undo a call nor keep the
+// router from its work.
+func (s *Shelf) Restore(adopt func([]string) error) {
+	if s == nil {
+		return
+	}
+	ids, err := s.Outs()
+	if err == nil && ids != nil {
+		err = adopt(ids)
+	}
+	if err != nil {
+		s.log.Warn().Err(err).Msg("what is out can't be read")
+	}
+}
+
 // Leave puts what is believed on the shelf every now and then, for whoever takes over, until another process serves or ctx ends.
 func (s *Shelf) Leave(ctx context.Context, beliefs func() rules.Beliefs) error {
 	if s == nil {
@@ -118,15 +133,11 @@
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
 		return fmt.Errorf("lock of what is out: %w", err)
 	}
-	if ids, err := s.Outs(); err == nil {
-		if err := adopt(ids); err != nil {
-			s.log.Warn().Err(err).Msg("what is out can't be read")
-		}
-	}
+	s.Restore(adopt)
 	if err := change(); err != nil {
 		return err
 	}
-	return s.write(outsFile, outs())
+	return s.write(outsFile, append([]string{}, outs()...)) // an empty list, where nothing is out: null would be no list
 }
 
 // Follow adopts what the other process writes, until ctx ends.
@@ -140,13 +151,7 @@
 	for {
 		if now, err := os.Stat(filepath.Join(s.dir, outsFile)); err == nil && (seen == nil || !os.SameFile(seen, now) || now.ModTime() != seen.ModTime()) {
 			seen = now
-			ids, err := s.Outs()
-			if err == nil {
-				err = adopt(ids)
-			}
-			if err != nil {
-				s.log.Warn().Err(err).Msg("what is out can't be read")
-			}
+			s.Restore(adopt)
 		}
 		select {
 		case <-ctx.Done():
