Close connections that give way after the lock is let go; test it within the idle limit

Need: house habit, no I/O under a mutex. Server.place closed the connection that gave way to a new one while it held the server's lock, which every accept and every connection's end take.

Change: place gathers those that give way and closes them once the lock is let go. The test of a quiet connection giving way passed without any close at all, since the idle limit (6 s) closed it later; it now reads with half the idle limit and takes a time-out for still open.

--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -173,7 +173,14 @@
 
 // place books a new connection. Where all places are taken, the one that is quiet for longest gives way: a client that
 // asked once and holds its connection for good must not keep others out. Without a quiet one the new one finds none.
+// Those that give way are closed once the lock is let go.
 func (s *Server) place(c *conn) bool {
+	var gone []*conn
+	defer func() {
+		for _, o := range gone {
+			o.net.Close()
+		}
+	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.MostConns {
@@ -190,7 +197,7 @@
 		}
 		delete(s.conns, oldest)
 		s.gaveWay++
-		oldest.net.Close()
+		gone = append(gone, oldest)
 	}
 	s.conns[c] = true
 	return true
--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -277,8 +279,11 @@
 	next := dial()
 	next.request(1, "page", "0000000000000003")
 	other := <-c.asked
-	if _, err := c.in.ReadByte(); err == nil {
-		t.Error("the quiet connection is still open")
+	// Half the idle limit: a connection closed only for being idle would still be open then.
+	c.Conn.SetReadDeadline(time.Now().Add(clock.Duration(idleLimit / 2)))
+	var late net.Error
+	if _, err := c.in.ReadByte(); err == nil || errors.As(err, &late) && late.Timeout() {
+		t.Errorf("the quiet connection is still open (%v)", err)
 	}
 	if _, err := dial().in.ReadByte(); err == nil {
 		t.Error("a connection found a place where all were owed answers")
