--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers decides what a router tells the others of its tier of servers that all of them share, and what it believes of
-// what they tell. A server is taken for crowded when routers of several depots have said so within a second. It does no I/O and
+// what they tell. A server is taken for crowded when routers of two depots have said so within a second. It does no I/O and
 // reads no clock; times are microseconds, and never run backwards.
 //
 // Promises, whatever comes in: a datagram of MaxDatagram bytes at most; no more than tellBurst of them at once, and tellEvery between
@@ -14,8 +14,11 @@
 )
 
 const (
-	// quorum is how many depots must find a server crowded: where one depot's own link is full, all its sources look crowded.
-	quorum = 3
+	// quorum is how many depots must find a server crowded: where one depot's own link is full, all its sources look crowded. Two are
+	// the fewest that tell that apart, and each further one is waited for while the crowd grows.
+	quorum = 2
+	// leastSiblings speak: of fewer each asks a server often enough to learn by itself.
+	leastSiblings = 16
 	// freshFor is how long a word counts.
 	freshFor = 1_000_000
 	// againAfter is how soon a router speaks of the same server again, or after quorum others have.
@@ -105,7 +108,7 @@
 }
 
 // Speaks tells whether the tier is large enough for its words to count anywhere.
-func (t *Tier) Speaks() bool { return t.opt.Depots > quorum }
+func (t *Tier) Speaks() bool { return t.opt.Siblings >= leastSiblings && t.opt.Depots > quorum }
 
 // Saw takes in that this router found a server crowded by itself, and returns the datagram for all others; nil if there is
 // nothing to tell: it was told lately, by this router or enough others, or too much was told.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -105,7 +105,7 @@
 	var hubs sync.WaitGroup
 	hubs.Go(func() { h.run(ranks, vias, to) })
 	// await takes finds of a server until all of the routers from first to last have made one who did not say so themselves, and no
-	// other has. Four say so: whichever of them holds back, has heard three.
+	// other has. Four say so: whichever of them holds back, has heard two.
 	await := func(server string, says, first, last int) {
 		t.Helper()
 		seen := map[int]bool{}
