--- a/emulator/config.go
+++ b/emulator/config.go
@@ -61,6 +61,9 @@
 	Shape   *hierarchy.Shape `json:"-"` // nil: fills go to all area caches alike
 	Shield  *shield.Document `json:"-"` // nil: no limit at the head office but that of rules
 
+	Talk *Talk `json:"talk,omitempty"` // nil: routers tell one another nothing
+	Hot  *Hot  `json:"hot,omitempty"`
+
 	Changes []Change `json:"-"`                // of cells and moves, in the order of their times
 	Movers  []int    `json:"-"`                // tenants counted apart
 	EndS    float64  `json:"-"`                // when the last has moved, as the documents have it
@@ -184,6 +187,9 @@
 	if !(c.SkewMs >= 0 && c.SkewMs <= 10_000) {
 		return fmt.Errorf("skewMs: %v is not 0 to 10000", c.SkewMs)
 	}
+	if err := c.checkTalk(); err != nil {
+		return err
+	}
 	for i, f := range c.Faults {
 		if f.Depot < -1 || f.Depot >= c.Depots || f.Which < 0 {
 			return fmt.Errorf("faults[%d]: there is no such machine", i)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,6 +25,7 @@
 	evBack                // id: server
 	evFront               // id: router; x: 1 seen up, 0 seen down
 	evChange              // id, gen: router; x: change
+	evWord                // id: router; x: word
 )
 
 type event struct {
--- a/emulator/result.go
+++ b/emulator/result.go
@@ -91,6 +91,9 @@
 	// that was more than all.
 	OriginMost  float64 `json:"originMost"`
 	OriginOverS float64 `json:"originOverS"`
+	// Words counts datagrams that routers told one another, WordBytes the bytes of them that came to one.
+	Words     int64 `json:"words"`
+	WordBytes int64 `json:"wordBytes"`
 	// Unended counts wishes that were neither served nor lost by the end.
 	Unended int64 `json:"unended"`
 	// Touched is the share of other tenants' worth served in depots on caches that the guilty tenant also used.
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -205,6 +205,7 @@
 	stop      int64
 	res       Result
 	latency   [classes]*hdrhistogram.Histogram
+	talk      talk
 	acts      []rules.Action
 }
 
@@ -357,6 +358,9 @@
 	if err != nil {
 		return err
 	}
+	if err := w.joins(id); err != nil {
+		return err
+	}
 	module.Ahead = r.ahead
 	if w.cfg.Shield != nil {
 		if err := module.Shield(w.now, w.cfg.Shield); err != nil { // it was checked with the world
@@ -501,6 +505,8 @@
 		}
 	case evFront:
 		w.routers[e.id].seen = e.x == 1
+	case evWord:
+		w.hears(e)
 	}
 }
 
@@ -520,6 +526,11 @@
 	}
 	key, object := w.object(rng, tenant, class)
 	parts := classOf[class].partsLeast + rng.IntN(classOf[class].partsMost-classOf[class].partsLeast+1)
+	if class == video {
+		if k, o, is := w.hot(rng); is {
+			key, object, parts = k, o, hotParts
+		}
+	}
 	if parts == 1 {
 		w.want(depot, tenant, class, key, object, 0, 0)
 		return
@@ -768,6 +779,8 @@
 			if q := w.requestOf(a.Call); q >= 0 {
 				w.final(q, a)
 			}
+		case rules.Tell:
+			w.tells(id, a.Node)
 		case rules.Log:
 			w.staged(id)
 		}
--- /dev/null
+++ b/lab/experiments/fleet-learn.jsonnet
@@ -0,0 +1,25 @@
+// Area caches that are short by a fifth, and a new object that takes half of all video for ten seconds; all depots fill it from the area cache that is its home. Routers that each learn by themselves how
+// crowded that is, against routers that tell one another (core/peers), with all datagrams and with three in ten lost.
+local worlds = import 'worlds.libsonnet';
+local fleet = {
+  caches: 4, channels: 8, objects: 40, onceShare: 0.02, keepS: 40, linkRoom: 1.6, parentRoom: 0.8, originRoom: 3, hubs: 2, warmS: 6, dayS: 24,
+};
+{
+  title: 'A tier that learns together',
+  sizes: {
+    small: worlds.small + fleet + { depots: 10, routers: 6, parents: 4, tenants: 40, rateS: 600 },
+    full: worlds.full + fleet + { depots: 50, routers: 6, parents: 12, tenants: 200, rateS: 3000 },
+  },
+  watch: -1,
+  arms: { alone: {}, told: { talk: { loss: 0 } }, lossy: { talk: { loss: 0.3 } } },
+  days: { calm: {}, hot: { hot: { atS: 10, forS: 10, part: 0.5 } } },
+  claims: [
+    { name: 'day of the hot object, told against alone', of: 'told/hot/timely', over: 'alone/hot/timely', least: 1.02 },
+    { name: 'the same with three datagrams in ten lost', of: 'lossy/hot/timely', over: 'alone/hot/timely', least: 1.02 },
+    { name: 'calm day, told against alone', of: 'told/calm/timely', over: 'alone/calm/timely', least: 0.99 },
+    { name: 'price of the datagrams', of: 'told/hot/wordPrice', most: 0.005 },
+    { name: 'no rule broken', of: 'all/broken', most: 0 },
+  ],
+  table: ['timely', 'end', 'hits', 'fillMb', 'originMb', 'refused', 'attemptsEach', 'words', 'wordPrice', 'p99CatalogueMs', 'broken'],
+  chart: { figure: 'timely', title: 'Timely worth', arms: ['alone', 'told', 'lossy'], days: ['calm', 'hot'] },
+}
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -55,6 +55,7 @@
 	Forget      bool                      `json:"forget,omitempty"` // the shield does not count fetches that were given up
 	Shape       string                    `json:"shape,omitempty"`  // style of the hierarchy's shape; none: all area caches alike
 	Trip        map[string]*emulator.Trip `json:"trip,omitempty"`   // by size
+	Talk        *emulator.Talk            `json:"talk,omitempty"`   // routers tell one another of crowded area caches
 }
 
 // Count is a number, or one for each size.
@@ -92,6 +93,7 @@
 	// Release is a new version; Worlds plays the day so often, each time with a seed of its own, and takes means.
 	Release *emulator.Release `json:"release,omitempty"`
 	Worlds  Count             `json:"worlds,omitempty"`
+	Hot     *emulator.Hot     `json:"hot,omitempty"` // a new object that all want
 }
 
 // Claim bounds a figure, "ARM/DAY/FIGURE", or its quotient by another. "all/broken" sums up the broken rules of all runs.
@@ -249,7 +251,7 @@
 		return cfg, fmt.Errorf("size %q: there is none", size)
 	}
 	cfg.Seed, cfg.Flood, cfg.Poison, cfg.Faults, cfg.Limit = seed, day.Flood, day.Poison, day.Faults, arm.Limit
-	cfg.SkewMs, cfg.DropFetches = day.SkewMs, arm.DropFetches
+	cfg.SkewMs, cfg.DropFetches, cfg.Talk, cfg.Hot = day.SkewMs, arm.DropFetches, arm.Talk, day.Hot
 	if arm.Shield != "" {
 		cfg.Shield = cfg.ShieldBy(arm.Shield, arm.Forget)
 	}
@@ -397,6 +399,9 @@
 // endSpan is how many of a day's last seconds count for how it ends.
 const endSpan = 15
 
+// wordPrice is the platform's for 256 bytes of datagrams a request, in parts of the result.
+const wordPrice = 0.0075
+
 func (r *Run) take(cfg *emulator.Config, res *emulator.Result) {
 	all := res.Others()
 	all = all.Plus(res.Cell())
@@ -412,6 +417,8 @@
 		r.Figures["coldShare"], r.Figures["unanswered"], r.Figures["unended"] = res.ColdShare, float64(res.Overdue), float64(res.Unended)
 		r.Figures["end"] = res.End(endSpan)
 	}
+	r.Figures["words"] = float64(res.Words)
+	r.Figures["wordPrice"] = wordPrice * float64(res.WordBytes) / 256 / max(float64(res.Requests), 1)
 	if len(cfg.Movers) > 0 {
 		for name, v := range map[string]float64{"movers": res.Movers.Share(), "stayers": res.Stayers.Share(), "coldMost": res.ColdMost,
 			"coldShare": res.ColdShare, "cellFill": res.CellFill, "cellBusy": res.CellBusy, "spread": res.Spread, "doneS": res.DoneS, "moved": float64(res.Gate.Moved), "kept": float64(res.Gate.Kept),
