core/fleet: who is up, and limits kept by all routers together, never over when cut

Today each share is reckoned from all routers listed, up or not.

Added: membership by SWIM with Lifeguard's local health and buddies; limits split into floors and a pool. The pool is lent by a keeper that more than half of all have promised to name no other; a promise is reckoned from the stamp that it echoes, a loan from the ask. Weighed and left: a keeper alone (two parts lend twice), shares by gossip (no bound while cut), words of crowding (no number).

--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,480 @@
+package fleet
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+const second = int64(1_000_000)
+
+// world is a tier in virtual time: a network that loses, doubles and delays, cuts by groups and one-way, and processes that crash, come
+// back, stand still, and whose clocks run apart.
+type world struct {
+	rng    *rand.Rand
+	now    int64
+	opt    Options
+	procs  []*proc
+	queue  flights
+	loss   float64
+	group  []int // routers of different groups don't hear each other
+	oneWay map[[2]int]bool
+	late   float64       // part of the datagrams that come up to 3 s late
+	lag    map[int]int64 // how much later those to a router come
+	sent   int
+}
+
+type proc struct {
+	node   *Node
+	up     bool
+	still  int64 // until when it stands still
+	rate   float64
+	offset int64
+	starts uint32
+}
+
+type flight struct {
+	at       int64
+	seq      int
+	from, to int
+	bytes    []byte // nil: a tick
+}
+
+type flights []flight
+
+func (f flights) Len() int { return len(f) }
+func (f flights) Less(i, j int) bool {
+	return f[i].at < f[j].at || f[i].at == f[j].at && f[i].seq < f[j].seq
+}
+func (f flights) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
+func (f *flights) Push(x any)   { *f = append(*f, x.(flight)) }
+func (f *flights) Pop() any {
+	old := *f
+	x := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return x
+}
+
+func newWorld(t testing.TB, seed uint64, routers int, limits ...Limit) *world {
+	t.Helper()
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: second, opt: Options{Siblings: routers, Depots: 4, Seed: seed, Limits: limits},
+		group: make([]int, routers), oneWay: map[[2]int]bool{}, lag: map[int]int64{}}
+	for i := range routers {
+		w.procs = append(w.procs, &proc{rate: 1 + (w.rng.Float64()*2-1)*drift/2, offset: w.rng.Int64N(1000 * second)})
+		w.start(t, i)
+	}
+	return w
+}
+
+func (w *world) local(i int) int64 {
+	p := w.procs[i]
+	return p.offset + int64(float64(w.now)*p.rate)
+}
+
+func (w *world) start(t testing.TB, i int) {
+	t.Helper()
+	p := w.procs[i]
+	p.starts++
+	o := w.opt
+	o.Rank, o.Depot, o.Incarnation = i, i%4, p.starts
+	node, err := New(w.local(i), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.Send = func(to int, b []byte) {
+		if len(b) > MaxDatagram {
+			t.Fatalf("a datagram of %d bytes", len(b))
+		}
+		w.sent++
+		for range 1 + w.rng.IntN(10)/9 { // one in ten is doubled
+			if w.rng.Float64() >= w.loss && w.group[i] == w.group[to] && !w.oneWay[[2]int{i, to}] { // what is on its way arrives
+				way := 1400 + w.rng.Int64N(22_000)
+				if w.late > 0 && w.rng.Float64() < w.late { // some come when all has changed
+					way += w.rng.Int64N(3 * second)
+				}
+				way += w.lag[to]
+				w.push(w.now+way, i, to, append([]byte(nil), b...))
+			}
+		}
+	}
+	for l := range o.Limits {
+		node.Want(l, 1e5)
+	}
+	p.node, p.up, p.still = node, true, 0
+	w.push(w.now, i, i, nil)
+}
+
+func (w *world) push(at int64, from, to int, b []byte) {
+	heap.Push(&w.queue, flight{at, len(w.queue) + w.sent<<20, from, to, b})
+}
+
+// run lets time pass until a moment; look is called after each step.
+func (w *world) run(until int64, look func()) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		f := heap.Pop(&w.queue).(flight)
+		w.now = f.at
+		p := w.procs[f.to]
+		switch {
+		case !p.up:
+		case w.now < p.still:
+			w.push(p.still, f.from, f.to, f.bytes)
+		case f.bytes == nil:
+			next := p.node.Tick(w.local(f.to))
+			w.push(w.now+max(next-w.local(f.to), 1000), f.to, f.to, nil)
+		default:
+			err := p.node.Hear(w.local(f.to), f.from, f.bytes)
+			if err != nil && !errors.Is(err, ErrOld) {
+				panic(err)
+			}
+		}
+		if look != nil {
+			look()
+		}
+	}
+	w.now = until
+}
+
+// shares sums up what all that run may have in use.
+func (w *world) shares(limit int, in func(i int) bool) (sum float64) {
+	for i, p := range w.procs {
+		if p.up && w.now >= p.still && (in == nil || in(i)) {
+			sum += p.node.Share(w.local(i), limit)
+		}
+	}
+	return sum
+}
+
+// mean is the mean of what shares says over the two seconds that follow.
+func (w *world) mean(limit int, in func(i int) bool) (sum float64) {
+	for range 20 {
+		w.run(w.now+second/10, nil)
+		sum += w.shares(limit, in) / 20
+	}
+	return sum
+}
+
+// kill ends a process; it is started again later, with nothing, by start.
+func (w *world) kill(i int) { w.procs[i].up = false }
+
+// The bound of the package, whatever happens: floors and loans never pass the limit. With the check of a loan's end, of promises at the
+// start, or of the incarnation that was promised taken out, this fails within 200 seeds.
+func TestSharesNeverPassTheLimit(t *testing.T) {
+	seeds := uint64(400)
+	if testing.Short() {
+		seeds = 40
+	}
+	most, lent := 0.0, 0
+	for seed := range seeds {
+		routers := 3 + int(seed%11)
+		limit := Limit{Name: "fills", Most: 40, Floor: 0.25}
+		w := newWorld(t, seed, routers, limit)
+		w.late = 0.04
+		look := func() {
+			sum := w.shares(0, nil)
+			most = max(most, sum)
+			if sum > limit.Most+1e-6 {
+				t.Fatalf("seed %d, %d routers, at %.3f s: shares of %.3f pass a limit of %v", seed, routers, float64(w.now)/1e6, sum, limit.Most)
+			}
+		}
+		for range 14 {
+			w.run(w.now+w.rng.Int64N(3*second), look)
+			switch i := w.rng.IntN(routers); w.rng.IntN(10) {
+			case 0:
+				for j := range w.group { // as many parts as it likes
+					w.group[j] = w.rng.IntN(1 + w.rng.IntN(4))
+				}
+			case 1:
+				clear(w.group)
+				clear(w.oneWay)
+				clear(w.lag)
+			case 8, 9:
+				if keeper := w.procs[i].node.Holdings(w.local(i))[0].Keeper; keeper >= 0 {
+					w.lag[keeper] = w.rng.Int64N(3 * second)
+					w.run(w.now+w.lag[keeper]+second, look)
+					w.group[keeper] = 9 // and is cut off with what is on its way to it
+				}
+			case 2:
+				w.loss = w.rng.Float64() * 0.4
+			case 3:
+				w.kill(i)
+			case 4, 5:
+				w.kill(i)
+				w.start(t, i)
+			case 6:
+				w.procs[i].still = w.now + w.rng.Int64N(4*second)
+			case 7:
+				w.oneWay[[2]int{i, w.rng.IntN(routers)}] = true
+			}
+			for j, p := range w.procs {
+				if !p.up && w.rng.IntN(3) == 0 {
+					w.start(t, j)
+				}
+			}
+		}
+		for _, p := range w.procs {
+			lent += int(p.node.Counts.Lent)
+		}
+	}
+	if most < 39 || lent < int(seeds)*50 {
+		t.Errorf("at most %.1f of 40 in use, %d loans: these worlds show nothing", most, lent)
+	}
+}
+
+// The keeper is one that not all would name, as the first choice was away when it came to lend. It is cut off with its loans out, and all others
+// start anew that moment, with nothing known of what they had promised: they must not have a second keeper before the first one's loans have ended.
+func TestWhoStartsAnewPromisesLate(t *testing.T) {
+	for seed := range uint64(20) {
+		limit := Limit{Name: "fills", Most: 40, Floor: 0.25}
+		w := newWorld(t, seed, 7, limit)
+		first := w.procs[0].node.limits[0].candidate()
+		w.kill(first)
+		w.run(w.now+Regain, nil)
+		w.start(t, first)
+		w.run(w.now+2*second, nil)
+		keeper := w.procs[first].node.Holdings(w.local(first))[0].Keeper
+		if keeper < 0 || keeper == first {
+			t.Fatalf("seed %d: kept by %d, first choice %d", seed, keeper, first)
+		}
+		w.group[keeper] = 1
+		for i := range w.procs {
+			if i != keeper {
+				w.kill(i)
+				w.start(t, i)
+			}
+		}
+		w.run(w.now+Regain, func() {
+			if sum := w.shares(0, nil); sum > limit.Most+1e-6 {
+				t.Fatalf("seed %d: shares of %.2f pass a limit of %v at %.3f s", seed, sum, limit.Most, float64(w.now)/1e6)
+			}
+		})
+		if sum := w.mean(0, nil); sum < 0.8*limit.Most {
+			t.Errorf("seed %d: %.2f of %v in use once they have a keeper", seed, sum, limit.Most)
+		}
+	}
+}
+
+// A promise counts from the stamp that it echoes: one that was long on its way has nearly ended.
+func TestPromiseOnItsWayHasBegun(t *testing.T) {
+	for age, lends := range map[int64]bool{second: true, promised - second/10: false, promised + second: false} {
+		w := newWorld(t, 1, 3, Limit{Name: "a", Most: 9})
+		w.run(w.now+Regain, nil)
+		keeper := w.procs[0].node.Holdings(w.local(0))[0].Keeper
+		k, now := w.procs[keeper].node.limits[0], w.local(keeper)+10*second // nothing that was promised holds any more
+		for rank := range 3 {
+			if rank != keeper {
+				k.asked(now, &message{rank: rank, of: k.n.opt.Incarnation, stamp: k.stampAt(now - age), amount: 1})
+			}
+		}
+		k.tallied = 0
+		if _, term := k.grant(now, (keeper+1)%3); (term > 0) != lends || term > max(promised-age, 0) {
+			t.Errorf("a loan of %d us on promises that were %d us on their way", term, age)
+		}
+	}
+}
+
+// What stays usable: while cut in three the part with more than half of the routers has six tenths of the pool or more, the others their floors;
+// a keeper that dies, or is cut off, is replaced within Regain, also where it dies the moment that the parts are one again.
+func TestPoolIsRegained(t *testing.T) {
+	for seed := range uint64(12) {
+		limit := Limit{Name: "fills", Most: 90, Floor: 0.3}
+		w := newWorld(t, seed, 15, limit)
+		w.loss = 0.1
+		w.run(w.now+Regain, nil)
+		if sum := w.mean(0, nil); sum < 0.9*limit.Most {
+			t.Fatalf("seed %d: %v of %v in use in a whole tier", seed, sum, limit.Most)
+		}
+		keeper := w.procs[0].node.Holdings(w.local(0))[0].Keeper
+		if keeper < 0 {
+			t.Fatalf("seed %d: no keeper", seed)
+		}
+		for i := range w.group { // the keeper and five others are cut off, in two parts
+			if d := (i - keeper + 15) % 15; d < 6 {
+				w.group[i] = 1 + d%2
+			}
+		}
+		w.run(w.now+Regain, nil)
+		big := w.mean(0, func(i int) bool { return w.group[i] == 0 })
+		small := w.shares(0, func(i int) bool { return w.group[i] != 0 })
+		floors := limit.Most * limit.Floor
+		if big < 0.6*(limit.Most-floors)+floors*9/15 || math.Abs(small-floors*6/15) > 1e-6 {
+			t.Errorf("seed %d: cut in three, %v in use in the large part, %v in the small ones", seed, big, small)
+		}
+		clear(w.group)
+		next := -1
+		for i := range w.procs {
+			if h := w.procs[i].node.Holdings(w.local(i))[0]; h.Keeps {
+				next = i
+			}
+		}
+		if next < 0 || next == keeper {
+			t.Fatalf("seed %d: kept by %d, by %d before the cut", seed, next, keeper)
+		}
+		w.kill(next)
+		w.run(w.now+Regain, nil)
+		if sum := w.mean(0, nil); sum < 0.6*(limit.Most-floors)+floors*14/15 {
+			t.Errorf("seed %d: %v in use %v s after the keeper died", seed, sum, Regain/second)
+		}
+	}
+}
+
+// Seven in ten die at once, and come back under their names: those left hold the others for dead, and for up again, with one in ten datagrams lost.
+func TestSevenInTenDieAtOnce(t *testing.T) {
+	w := newWorld(t, 3, 40)
+	w.loss = 0.1
+	w.run(w.now+5*second, nil)
+	for i := range 28 {
+		w.kill(i)
+	}
+	w.run(w.now+40*second, nil) // most questions go to dead ones, one after the other
+	for i := 28; i < 40; i++ {
+		if living := w.procs[i].node.Living(); living != 12 {
+			t.Errorf("router %d holds %d of 40 for up where 12 are", i, living)
+		}
+	}
+	for i := range 28 {
+		w.start(t, i)
+	}
+	w.run(w.now+6*second, nil)
+	for i := range 40 {
+		if living := w.procs[i].node.Living(); living != 40 {
+			t.Errorf("router %d holds %d of 40 for up where all are", i, living)
+		}
+	}
+}
+
+// Two halves that each hold the other for dead find one another again; a process that stood still for three seconds, and one that hears but is
+// not heard by one other, are not taken out by the tier for longer than they deserve.
+func TestWhoIsUpAfterTrouble(t *testing.T) {
+	w := newWorld(t, 5, 20)
+	w.run(w.now+4*second, nil)
+	for i := range 10 {
+		w.group[i] = 1
+	}
+	w.run(w.now+30*second, nil)
+	if a, b := w.procs[0].node.Living(), w.procs[19].node.Living(); a != 10 || b != 10 {
+		t.Errorf("halves of 10 hold %d and %d for up", a, b)
+	}
+	clear(w.group)
+	w.run(w.now+20*second, nil)
+	for i := range 20 {
+		if living := w.procs[i].node.Living(); living != 20 {
+			t.Errorf("router %d holds %d of 20 for up after the heal", i, living)
+		}
+	}
+	for i := range 20 { // only router 7 hears router 3, but all hear of it
+		if i != 7 && i != 3 {
+			w.oneWay[[2]int{3, i}] = i < 5
+		}
+	}
+	w.procs[12].still = w.now + 3*second
+	w.run(w.now+12*second, nil)
+	for i := range 20 {
+		n := w.procs[i].node
+		if !n.Up(3) || !n.Up(12) {
+			t.Errorf("router %d holds 3 for %v and 12 for %v", i, n.StateOf(3), n.StateOf(12))
+		}
+	}
+}
+
+func TestBadOptions(t *testing.T) {
+	good := Options{Rank: 1, Siblings: 3, Depots: 2, Limits: []Limit{{Name: "a", Most: 1}}}
+	for want, change := range map[string]func(*Options){
+		"Siblings: 0": func(o *Options) { o.Siblings = 0 }, "Rank: 3 of 3": func(o *Options) { o.Rank = 3 }, "Depots: 0": func(o *Options) { o.Depots = 0 },
+		"Depot: 2 of 2": func(o *Options) { o.Depot = 2 }, "Limits: 9, 8 at most": func(o *Options) { o.Limits = make([]Limit, 9) },
+		"Limits[0].Name: missing":                       func(o *Options) { o.Limits = []Limit{{Most: 1}} },
+		"Limits[0].Most: NaN is not above 0 to 1000000": func(o *Options) { o.Limits = []Limit{{Name: "a", Most: math.NaN()}} },
+		"Limits[0].Floor: 2 is not 0 to 1":              func(o *Options) { o.Limits = []Limit{{Name: "a", Most: 1, Floor: 2}} },
+		"Limits[0].Spare: 1500000 us is not 0 to less than 1500000": func(o *Options) {
+			o.Limits = []Limit{{Name: "a", Most: 1, Spare: lentFor}}
+		},
+	} {
+		o := good
+		change(&o)
+		if _, err := New(0, o); err == nil || err.Error() != want {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
+
+// A tier of one keeps its limits by itself.
+func TestAlone(t *testing.T) {
+	w := newWorld(t, 1, 1, Limit{Name: "a", Most: 5, Floor: 0.4})
+	w.run(w.now+Regain, nil)
+	taken, n := 0, w.procs[0].node
+	for n.Take(w.local(0), 0) {
+		taken++
+	}
+	if taken != 5 {
+		t.Errorf("%d taken of 5", taken)
+	}
+	n.Give(0)
+	if !n.Take(w.local(0), 0) || n.Take(w.local(0), 0) {
+		t.Error("one given back is not one to be taken")
+	}
+}
+
+func FuzzHear(f *testing.F) {
+	m := message{rank: 1, incarnation: 2, sequence: 3, op: ping, rumours: []rumour{{0, 1, 0, Dead}, {1, 9, 9, Alive}}}
+	for o := range bodySizes {
+		m.op = o
+		f.Add(m.append(nil))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n, err := New(0, Options{Rank: 2, Siblings: 4, Depots: 1, Incarnation: 1, Limits: []Limit{{Name: "a", Most: 4, Floor: 0.5}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Send = func(_ int, d []byte) {
+			if len(d) > MaxDatagram {
+				t.Fatalf("%d bytes", len(d))
+			}
+		}
+		if err := n.Hear(second, 1, b); err != nil && !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrStranger) && !errors.Is(err, ErrOld) {
+			t.Fatal(err)
+		}
+		n.Tick(2 * second)
+		if s := n.Share(2*second, 0); s > 0.5 {
+			t.Fatalf("%x gives a share of %v", b, s)
+		}
+	})
+}
+
+func BenchmarkHear(b *testing.B) {
+	n, err := New(0, Options{Siblings: 300, Depots: 40, Incarnation: 1, Limits: []Limit{{Name: "a", Most: 100, Floor: 0.2}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var d [300][]byte
+	m := message{op: ack, keeper: nobody, incarnation: 1, rumours: []rumour{{5, 1, 0, Alive}, {6, 1, 0, Alive}}}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		m.rank, m.sequence = 1+i%299, uint32(i+1)
+		d[m.rank] = m.append(d[m.rank][:0])
+		if err := n.Hear(int64(i), m.rank, d[m.rank]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkTakeGive(b *testing.B) {
+	n, err := New(0, Options{Siblings: 4, Depots: 1, Incarnation: 1, Limits: []Limit{{Name: "a", Most: 100, Floor: 1}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if !n.Take(int64(i), 0) {
+			b.Fatal("none left")
+		}
+		n.Give(0)
+	}
+}
+
+func ExampleNode_Share() {
+	n, _ := New(0, Options{Siblings: 4, Depots: 1, Incarnation: 1, Limits: []Limit{{Name: "fills at the head office", Most: 40, Floor: 0.2}}})
+	fmt.Println(n.Share(0, 0), "of its own, before anybody lends")
+	// Output: 2 of its own, before anybody lends
+}
