--- a/rules/helper.go
+++ b/rules/helper.go
@@ -43,6 +43,16 @@
 	return string(strconv.AppendInt(append(append(room[:0], object...), '/'), part, 10))
 }
 
+// densest is the most that a class earns for its sending time; writes: they count too.
+func (r *Router) densest(writes bool) (most float64) {
+	for i, c := range r.set.Classes {
+		if writes || !at(r.set.Extra.PassOn, i) {
+			most = max(most, c.Gain/r.sendMean[i])
+		}
+	}
+	return most
+}
+
 // Asking is how many fills that are known to ask the origin are out.
 func (r *Router) Asking() int { return r.asked }
 
--- a/rules/limits.go
+++ b/rules/limits.go
@@ -33,16 +33,13 @@
 
 // room reports that n is under its limit. A part of one is at random: hundreds of routers keep to their sum.
 func (r *Router) room(q *request, n *node) bool {
-	best := 0.0
-	for i, c := range r.set.Classes {
-		best = max(best, c.Gain/r.sendMean[i])
-	}
+	best := r.densest(n.role == roleCache) // writes fill from no source
 	earns := min(r.set.Classes[q.class].Gain/max(r.sending(q), 1)/max(best, 1e-12), 1)
 	if q.over {
 		earns *= r.set.OverShareWorth
 	}
 	limit, luck := n.limit*(1-denseReserve*(1-earns)), r.rng.Float64()
-	if q.account == 0 || n.role == roleCache {
+	if q.account == 0 || n.role == roleCache || n.role == roleOther {
 		return float64(n.out)+luck < limit
 	}
 	// An account's share is its own; past it, it borrows what others leave that had work of late: their share
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -94,7 +94,7 @@
 	}
 	behind := &r.behind
 	if q.looked > 0 { // counted with those known to ask: most of the others are hits
-		behind = &node{role: roleCache, limit: min(behind.limit, r.asksMost), out: r.asked} // no account's
+		behind = &node{role: roleOther, limit: min(behind.limit, r.asksMost), out: r.asked} // no account's
 	}
 	shut := r.origin == nil || r.origin.gate(q.account).open(r.now) || !r.room(q, behind) ||
 		q.looked == 0 && r.asksMost < behindMost
