Routers that lose the list service come back one after the other, each in its slot

Need: a cold start that spares the list service. Measured before: 100 routers dial it within the same 100 ms, and again together every 250 ms.

Cause: internal/board's waits (50 ms doubling to 250 ms) were the same at all routers, and began anew after any frame, so that a service which breaks off after one was dialled at once.

A connection that held for less than 1 s counts as a try that failed.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"spantack/core/cells"
+	"spantack/core/coldstart"
 	"spantack/core/sched"
 	"spantack/internal/background"
 	"spantack/internal/board"
@@ -190,7 +191,8 @@
 	ready.Store(true)
 	log.Info().Str("listen", c.Listen).Uint64("known", c.Last).Msg("serving")
 
-	follower := &board.Follower{Names: c.Names, Last: c.Last, Apply: apply, Clock: now, Log: log}
+	follower := &board.Follower{Names: c.Names, Last: c.Last, Apply: apply, Clock: now, Log: log,
+		Tries: coldstart.Tries{Rank: c.Tier.Rank, Siblings: c.Settings.Siblings}}
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	var talk *peers.Talk
--- a/internal/board/follow.go
+++ b/internal/board/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"spantack/core/coldstart"
 	"spantack/internal/clock"
 	"spantack/internal/router"
 )
@@ -20,8 +21,7 @@
 const (
 	silence   = 2500 // ms without a frame after which the connection is given up: one comes each second
 	dialLimit = 500
-	waitFirst = 50 // ms before the first new try, doubled for each further one
-	waitMost  = 250
+	held      = 1000 // ms: a connection that broke sooner is a try that failed; one that holds so long is a new start
 	logEvery  = 1000
 )
 
@@ -32,6 +32,7 @@
 	Names Names
 	Last  uint64 // number of the last event applied
 	Apply func(router.Notice)
+	Tries coldstart.Tries // when a connection is tried anew, so that hundreds of routers do not come at once
 	Clock *clock.Clock
 	Log   zerolog.Logger
 
@@ -54,7 +55,7 @@
 
 // Run follows the board until ctx ends. A lost connection is opened anew from the last event applied.
 func (f *Follower) Run(ctx context.Context) error {
-	wait := float64(waitFirst)
+	lost, tried := 0.0, false // since when there is no connection, by the steady clock, and whether one was tried since
 	for ctx.Err() == nil {
 		before := f.Last
 		here, cancel := context.WithCancelCause(ctx)
@@ -62,26 +63,37 @@
 		addr := f.addr
 		f.cancel = cancel
 		f.mu.Unlock()
+		begun := f.Clock.Steady()
 		heard, err := f.follow(here, addr)
 		moved := context.Cause(here) == errMoved
 		if !moved && ctx.Err() == nil {
-			if heard {
-				wait = waitFirst
-			}
 			f.fault(err, addr, f.Last-before)
-			rest, done := context.WithTimeout(here, clock.Duration(wait)) // a move ends the wait too
-			<-rest.Done()
-			done()
-			wait = min(2*wait, waitMost)
+			now := f.Clock.Steady()
+			if lost == 0 || heard && now-begun >= held {
+				lost, tried = now, false
+			}
+			f.rest(here, lost, tried)
+			tried = true
 		}
-		if context.Cause(here) == errMoved {
-			wait = waitFirst
+		if context.Cause(here) == errMoved { // all are told of that at once
+			lost, tried = f.Clock.Steady(), false
+			f.rest(ctx, lost, tried)
+			tried = true
 		}
 		cancel(nil)
 	}
 	return nil
 }
 
+// rest waits until this router may try next, or for the end of ctx: a move ends the wait too.
+func (f *Follower) rest(ctx context.Context, lost float64, tried bool) {
+	now := clock.Micros(f.Clock.Steady())
+	next := f.Tries.Next(clock.Micros(lost), now, tried)
+	rest, done := context.WithTimeout(ctx, clock.Duration(clock.Millis(next-now)))
+	defer done()
+	<-rest.Done()
+}
+
 // fault logs a lost connection, and further ones at most once a second: a board that is away is tried often.
 func (f *Follower) fault(err error, addr string, applied uint64) {
 	f.lost++
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -134,7 +134,13 @@
 	if err := echo(d, within); err != nil {
 		t.Error(err)
 	}
-	if dials, to, back := r.Counts(); dials != 2 || to != 10 || back != 10 {
-		t.Errorf("%d dials, %d and %d bytes", dials, to, back)
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) { // the relay books what it has passed on a moment later
+		dials, open, to, back := r.Counts()
+		if len(dials) == 2 && open == 1 && to == 10 && back == 10 {
+			return
+		}
+		if time.Since(begin) > within {
+			t.Fatalf("%d dials, %d open, %d and %d bytes", len(dials), open, to, back)
+		}
 	}
 }
--- a/standin/link/relay.go
+++ b/standin/link/relay.go
@@ -22,8 +22,8 @@
 	mu    sync.Mutex
 	state State
 	conns map[net.Conn]bool
-	dials int
-	bytes [2]int64 // to the server, and back
+	dials []time.Time // of each connection asked for
+	bytes [2]int64    // to the server, and back
 	wg    sync.WaitGroup
 }
 
@@ -57,11 +57,11 @@
 	}
 }
 
-// Counts are the connections asked for so far, and the bytes that went to the server and came back.
-func (r *Relay) Counts() (dials int, to, back int64) {
+// Counts are the times at which connections were asked for so far, how many there are, and the bytes that went to the server and came back.
+func (r *Relay) Counts() (dials []time.Time, open int, to, back int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.dials, r.bytes[0], r.bytes[1]
+	return append([]time.Time(nil), r.dials...), len(r.conns) / 2, r.bytes[0], r.bytes[1]
 }
 
 // Close ends the relay and its connections.
@@ -92,7 +92,7 @@
 			return
 		}
 		r.mu.Lock()
-		r.dials++
+		r.dials = append(r.dials, time.Now())
 		cut := r.state.Cut
 		r.mu.Unlock()
 		if cut {
