standin/link: a relay that is cut resets both ends, whichever side notices first

Seen: TestRelay got an end of stream in one of twenty runs where a reset was due: the pump of one side closed the other's connection before the cut had reached it.

--- a/standin/link/relay.go
+++ b/standin/link/relay.go
@@ -120,8 +120,12 @@
 // pump carries bytes one way until either end closes.
 func (r *Relay) pump(from, to net.Conn, way int) {
 	defer func() {
-		from.Close()
-		to.Close()
+		end := net.Conn.Close
+		if r.now().Cut {
+			end = func(c net.Conn) error { reset(c); return nil }
+		}
+		_ = end(from)
+		_ = end(to)
 		r.mu.Lock()
 		delete(r.conns, from)
 		delete(r.conns, to)
