--- a/rules/helper.go
+++ b/rules/helper.go
@@ -43,7 +43,7 @@
 	return string(strconv.AppendInt(append(append(room[:0], object...), '/'), part, 10))
 }
 
-// densest is the most that a class earns for its sending time; writes: they count too.
+// densest is the most that a class earns for its sending time; writes: those count too.
 func (r *Router) densest(writes bool) (most float64) {
 	for i, c := range r.set.Classes {
 		if writes || !at(r.set.Extra.PassOn, i) {
