--- a/core/fleet/datagram.go
+++ b/core/fleet/datagram.go
@@ -17,6 +17,7 @@
 //	relay    target:2 token:4 limit:1 keeper:2   ask it for me
 //	ask      limit:1 want:4 stamp:4 of:4    a promise to the receiver, and what is wanted; the stamp is echoed, of a start of the keeper
 //	lend     limit:1 amount:4 term:4 stamp:4 asked:4
+//	word     server:4 word:1        what the sender's depot finds of a server
 //
 // A rumour is rank:2 incarnation:4 refuted:2 state:1; as many follow as there is room for.
 const (
@@ -41,9 +42,10 @@
 	relay
 	ask
 	lend
+	word
 )
 
-var bodySizes = map[op]int{ping: 9, ack: 9, relay: 9, ask: 13, lend: 17}
+var bodySizes = map[op]int{ping: 9, ack: 9, relay: 9, ask: 13, lend: 17, word: 5}
 
 // The reasons why a datagram is dropped.
 var (
@@ -71,6 +73,8 @@
 	amount                float64 // wanted, or lent
 	term                  int64   // us
 	stamp, of, asked      uint32
+	server                uint32
+	word                  Word
 	rumours               []rumour
 }
 
@@ -105,6 +109,8 @@
 		buf = b.AppendUint32(buf, uint32(m.term/termUnit))
 		buf = b.AppendUint32(buf, m.stamp)
 		buf = b.AppendUint32(buf, m.asked)
+	case word:
+		buf = append(b.AppendUint32(buf, m.server), byte(m.word))
 	}
 	for _, r := range m.rumours {
 		if len(buf)+rumourSize > MaxDatagram {
@@ -151,6 +157,10 @@
 	case lend:
 		m.limit, m.amount, m.term = int(d[0]), float64(b.Uint32(d[1:]))*amountUnit, int64(b.Uint32(d[5:]))*termUnit
 		m.stamp, m.asked = b.Uint32(d[9:]), b.Uint32(d[13:])
+	case word:
+		if m.server, m.word = b.Uint32(d), Word(d[4]); m.word == 0 || m.word >= words {
+			return fmt.Errorf("%w: word %d", ErrMalformed, m.word)
+		}
 	}
 	for d = d[size:]; len(d) > 0; d = d[rumourSize:] {
 		r := rumour{rank: int(b.Uint16(d)), incarnation: b.Uint32(d[2:]), refuted: b.Uint16(d[6:]), state: State(d[8])}
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -240,7 +240,7 @@
 	if to == nobody {
 		return
 	}
-	want := max(k.want-k.floor(), 0) // of the pool: the floor is its own
+	want := max(k.want-k.floor(), 0)                           // of the pool: the floor is its own
 	mayPromise := now-k.n.started >= promised+promised*drift*2 // what was promised before the start is forgotten
 	if to == k.n.opt.Rank {
 		k.of = k.n.opt.Incarnation
