Verdicts in service: all routers keep off an area cache that two depots find failing

Need: a router sees few fills of an area cache, so that its breaker opens late or by chance; the list may call a dead one ready for 13 s.

Added: what a router's breaker keeps it off is said as a finding (core/fleet); a verdict reaches the module as a server that drains (core/roster, apart from what staff took out), never more than one in three. Off unless fleet.verdicts is set. Not taken: opening the module's breaker by word, which would make each router's trial wait on others' times. lab/live plays routers of several depots, lost area caches and the list service (cold-start).

--- a/cmd/spanlab/live.go
+++ b/cmd/spanlab/live.go
@@ -28,6 +28,7 @@
 	Name    string `arg:"" help:"The scenario."`
 	Routers int    `default:"16" help:"How many router processes, 3 to 300."`
 	Seed    uint64 `default:"1" help:"Of the load and the network's chance, 0 to 2^63."`
+	Binary  string `help:"The router's program, such as one of an earlier version; left out: built from the sources." type:"existingfile"`
 	Out     string `help:"Folder for result.json, table.md and a chart."`
 }
 
@@ -48,7 +49,7 @@
 	defer cancel()
 	bar := newProgress(len(s.Steps))
 	defer bar.finish()
-	r, err := s.Play(ctx, live.Options{Routers: c.Routers, Seed: c.Seed, Tell: func(_ string, done, all int) { bar.show(done, all) }})
+	r, err := s.Play(ctx, live.Options{Routers: c.Routers, Seed: c.Seed, Binary: c.Binary, Tell: func(_ string, done, all int) { bar.show(done, all) }})
 	if err != nil {
 		return err
 	}
--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -196,8 +196,8 @@
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	var talk *peers.Talk
-	if limits := on.Limits(); (f.Peers || limits != nil) && c.Tier.May {
-		if talk, err = tier(c, limits, core, now, log); err != nil {
+	if limits := on.Limits(); (f.Peers || limits != nil || on.Judges()) && c.Tier.May {
+		if talk, err = tier(c, limits, on.Judges(), core, now, log); err != nil {
 			return err
 		}
 	}
--- a/cmd/spantack/tier.go
+++ b/cmd/spantack/tier.go
@@ -21,25 +21,31 @@
 )
 
 // tier ties what routers tell one another to the decision module. nil: the tier is too small for that.
-func tier(c *config.Config, limits []fleet.Limit, core *router.Router, now *clock.Clock, log zerolog.Logger) (*peers.Talk, error) {
+func tier(c *config.Config, limits []fleet.Limit, judges bool, core *router.Router, now *clock.Clock, log zerolog.Logger) (*peers.Talk, error) {
 	t, err := tierwide.New(tierwide.Options{Rank: c.Tier.Rank, Siblings: len(c.Tier.Peers), Depot: slices.Index(c.Settings.Zones, c.Settings.Zone),
 		Depots: len(c.Settings.Zones), Incarnation: uint32(now.Now() / 1000)})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if !t.Speaks() && limits == nil {
+	if !t.Speaks() && limits == nil && !judges {
 		return nil, nil
 	}
 	talk := &peers.Talk{Tier: t, Listen: c.Tier.Listen, Peers: c.Tier.Peers, All: c.Tier.All, Crowded: core.Crowded, Clock: now, Log: log}
-	if limits != nil {
+	if limits != nil || judges {
 		talk.Fleet, err = fleet.New(clock.Micros(now.Steady()), fleet.Options{Rank: c.Tier.Rank, Siblings: len(c.Tier.Peers),
 			Depot: slices.Index(c.Settings.Zones, c.Settings.Zone), Depots: len(c.Settings.Zones), Seed: uint64(c.Seed), Limits: limits,
 			Incarnation: uint32((now.Now() - incarnationsFrom) / incarnationEvery)})
 		if err != nil {
 			return nil, fmt.Errorf("settings: %w", err)
 		}
-		talk.Lease, talk.Asking = core.Lease, core.Asking
-		core.Lease(talk.Fleet.Share(clock.Micros(now.Steady()), 0)) // before the first request
+		talk.Asking = core.Asking
+		if limits != nil {
+			talk.Lease = core.Lease
+			core.Lease(talk.Fleet.Share(clock.Micros(now.Steady()), 0)) // before the first request
+		}
+		if judges {
+			talk.Sources, talk.Shun = core.Sources, core.Shun
+		}
 	}
 	talk.Ready()
 	if t.Speaks() {
--- a/core/cells/guarding.go
+++ b/core/cells/guarding.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Sources names the listed area caches, and those of them that breakers keep this router off.
+func (m *Module) Sources(now int64) (all, shut []string) { return m.rules.Sources(now) }
+
 // Asking is how many such fills are out.
 func (m *Module) Asking() int { return m.rules.Asking() }
 
--- a/core/fleet/verdicts.go
+++ b/core/fleet/verdicts.go
@@ -24,7 +24,7 @@
 	quorum     = 2       // depots that must say so: where one depot's own link is full or broken, all it reaches looks bad
 	sayFirst   = 250_000 // between the first sayings of a finding, until sayOften were made
 	sayOften   = 6
-	sayAgain   = 750_000 // and from then on, for as long as it stands
+	sayAgain   = 750_000   // and from then on, for as long as it stands
 	standsFor  = 2_000_000 // a finding that is not made again stands so long
 	wordKept   = 3_000_000 // a word counts so long after it was heard
 	outPart    = 3         // one in so many servers of a kind may be out by verdict: a sick tier must not empty it
--- a/core/peers/datagram.go
+++ b/core/peers/datagram.go
@@ -67,6 +67,9 @@
 	return nil
 }
 
+// Number is what an id such as "s-00c41f7a" stands for; false for an id of another kind.
+func Number(id string) (uint32, bool) { return number(id) }
+
 // number is what an id such as "s-00c41f7a" stands for.
 func number(id string) (uint32, bool) {
 	digits, ok := strings.CutPrefix(id, "s-")
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster keeps the list of servers as it was told, and apart from it what staff have taken out by hand. A server that
+// Package roster keeps the list of servers as it was told, and apart from it what staff have taken out by hand and what the fleet's verdicts keep off. A server that
 // is out reaches the decision module as one that drains: nothing new goes to it, as request or as source of a fill, whatever the
 // list says of it meanwhile, until it is put back. What a process remembers of that is handed on as Outs, to its successor too.
 package roster
@@ -33,10 +33,13 @@
 type Roster struct {
 	rows map[string]rules.Row // as told last; gone ones are not in it
 	outs map[string]bool
+	shun map[string]bool // by verdict: never handed on, never in Outs
 }
 
 // New returns an empty list with nothing out.
-func New() *Roster { return &Roster{rows: map[string]rules.Row{}, outs: map[string]bool{}} }
+func New() *Roster {
+	return &Roster{rows: map[string]rules.Row{}, outs: map[string]bool{}, shun: map[string]bool{}}
+}
 
 // Note takes a change of the list, or the whole list, and returns it as the decision module is to hear it.
 func (r *Roster) Note(whole bool, rows []rules.Row) []rules.Row {
@@ -57,7 +60,7 @@
 
 // effective is a row as the module is to hear it.
 func (r *Roster) effective(row rules.Row) rules.Row {
-	if row.Status == healthy && r.outs[row.Node] {
+	if row.Status == healthy && (r.outs[row.Node] || r.shun[row.Node]) {
 		row.Status = out
 	}
 	return row
@@ -89,7 +92,26 @@
 	case !listed || !was:
 		return nil, nil
 	}
-	return []rules.Row{row}, nil
+	return []rules.Row{r.effective(row)}, nil
+}
+
+// Shun replaces what verdicts keep off and returns the rows that the module has to hear. Servers that are not listed count when they are.
+func (r *Roster) Shun(ids []string) (changed []rules.Row) {
+	next := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		next[id] = true
+	}
+	if maps.Equal(next, r.shun) {
+		return nil
+	}
+	before := r.shun
+	r.shun = next
+	for _, id := range slices.Sorted(maps.Keys(r.rows)) {
+		if before[id] != next[id] && !r.outs[id] && r.rows[id].Status == healthy {
+			changed = append(changed, r.effective(r.rows[id]))
+		}
+	}
+	return changed
 }
 
 // Outs are the ids that are out, in order.
--- /dev/null
+++ b/core/roster/shun_test.go
@@ -0,0 +1,38 @@
+package roster
+
+import (
+	"testing"
+
+	"spantack/rules"
+)
+
+// What a verdict keeps off drains for the module, apart from what staff took out: neither undoes the other, and a verdict is never handed on.
+func TestShun(t *testing.T) {
+	r := New()
+	r.Note(true, []rules.Row{{Node: "a", Status: "healthy"}, {Node: "b", Status: "healthy"}, {Node: "c", Status: "cordoned"}})
+	if rows := r.Shun([]string{"a", "c", "x"}); len(rows) != 1 || rows[0].Node != "a" || rows[0].Status != "cordoned" {
+		t.Fatalf("%+v", rows)
+	}
+	if rows := r.Shun([]string{"x", "a", "c"}); rows != nil {
+		t.Errorf("the same once more changes %+v", rows)
+	}
+	if rows, err := r.Exclude("a"); err != nil || len(rows) != 1 || rows[0].Status != "cordoned" {
+		t.Errorf("%+v, %v", rows, err)
+	}
+	if rows := r.Shun(nil); len(rows) != 0 {
+		t.Errorf("the end of a verdict puts back what staff took out: %+v", rows)
+	}
+	r.Shun([]string{"a"})
+	if rows, err := r.Include("a"); err != nil || len(rows) != 1 || rows[0].Status != "cordoned" {
+		t.Errorf("staff put back what a verdict keeps off: %+v, %v", rows, err)
+	}
+	if outs := r.Outs(); len(outs) != 0 {
+		t.Errorf("a verdict is handed on: %v", outs)
+	}
+	if rows := r.Note(false, []rules.Row{{Node: "x", Status: "healthy"}}); rows[0].Status != "healthy" {
+		t.Errorf("%+v", rows)
+	}
+	if rows := r.Shun(nil); len(rows) != 1 || rows[0].Status != "healthy" {
+		t.Errorf("%+v", rows)
+	}
+}
--- a/deploy/features.jsonnet
+++ b/deploy/features.jsonnet
@@ -108,5 +108,6 @@
     enabled: false,
     asks: 40,  // of all routers at once, whatever parts the fleet falls into
     floor: 0.25,  // part of them split evenly among all routers of the settings, up or not; the rest is lent
+    verdicts: false,  // keep off area caches that two depots find failing
   },
 }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -70,13 +70,18 @@
 // Fleet is the feature of that name.
 type Fleet struct {
 	Enabled bool    `json:"enabled"`
-	Asks    float64 `json:"asks,omitempty" jsonschema_description:"fills that ask the head office at once, of all routers, 1 to 1000000"`
+	Asks    float64 `json:"asks,omitempty" jsonschema_description:"fills that ask the head office at once, of all routers, up to 1000000; 0: no such limit"`
 	Floor   float64 `json:"floor,omitempty" jsonschema_description:"part of that which is split evenly and never lent, 0 to 1"`
+	// Verdicts keeps routers off area caches that two depots find failing.
+	Verdicts bool `json:"verdicts,omitempty" jsonschema_description:"routers keep off area caches that two depots find failing"`
 }
 
+// Judges tells whether the fleet's verdicts are said and heeded.
+func (f *File) Judges() bool { return f != nil && f.Fleet.Enabled && f.Fleet.Verdicts }
+
 // Limits are what the fleet keeps together; nil while the feature is off.
 func (f *File) Limits() []fleet.Limit {
-	if f == nil || !f.Fleet.Enabled {
+	if f == nil || !f.Fleet.Enabled || f.Fleet.Asks == 0 {
 		return nil
 	}
 	return []fleet.Limit{{Name: "asks", Most: f.Fleet.Asks, Floor: f.Fleet.Floor}}
@@ -171,11 +176,14 @@
 	if _, err := f.Graph(); err != nil {
 		return err
 	}
-	if f.Fleet.Enabled {
-		if err := f.Limits()[0].Check(); err != nil {
+	for _, l := range f.Limits() {
+		if err := l.Check(); err != nil {
 			return fmt.Errorf("fleet.%w", err)
 		}
 	}
+	if f.Fleet.Enabled && f.Fleet.Asks == 0 && !f.Fleet.Verdicts {
+		return errors.New("fleet.asks: 0, and fleet.verdicts false: one of them is wanted where it is enabled")
+	}
 	if d := f.Guard(); d != nil {
 		if _, _, err := d.Terms(1); err != nil {
 			return fmt.Errorf("shield: %w", err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -41,10 +41,15 @@
 	Fleet  *fleet.Node
 	Lease  func(share float64)
 	Asking func() (out int, refused int64)
+	// Sources names the servers that verdicts may be of, and those that this router finds failing; Shun is told of which a verdict is in force.
+	// nil: no verdicts are said or heeded.
+	Sources func() (all, failing []string)
+	Shun    func(servers []string)
 
 	conn    *net.UDPConn // nil: the address can't be had at present
 	outbox  []parcel
 	refused int64
+	judged  []string // what Shun was told last
 	waiting chan string
 	mu      sync.Mutex // guards Tier; never held across I/O
 	ranks   map[netip.AddrPort]int
@@ -217,12 +222,17 @@
 		out, refused := t.Asking()
 		now := clock.Micros(t.Clock.Steady())
 		t.mu.Lock()
-		t.Fleet.Want(asksLimit, float64(out)+float64(refused-t.refused)+1)
+		if t.Lease != nil {
+			t.Fleet.Want(asksLimit, float64(out)+float64(refused-t.refused)+1)
+		}
 		next := t.Fleet.Tick(now)
-		share := t.Fleet.Share(now, asksLimit)
+		share := t.share(now)
 		t.mu.Unlock()
 		t.refused += (refused - t.refused + 1) / 2 // half of it counts the next time, a quarter after that
-		t.Lease(share)
+		if t.Lease != nil {
+			t.Lease(share)
+		}
+		t.judge(now)
 		t.post(ctx)
 		due, timer := t.Clock.Alarm(clock.Millis(next - now))
 		select {
@@ -234,20 +244,62 @@
 	return nil
 }
 
+// judge says what this router finds failing, and heeds what the fleet does.
+func (t *Talk) judge(now int64) {
+	if t.Sources == nil {
+		return
+	}
+	all, failing := t.Sources()
+	names := map[uint32]string{}
+	var ids []uint32
+	for _, name := range all {
+		if id, ok := peers.Number(name); ok {
+			names[id] = name
+			ids = append(ids, id)
+		}
+	}
+	var off []string
+	t.mu.Lock()
+	for _, name := range failing {
+		if id, ok := peers.Number(name); ok {
+			t.Fleet.Find(now, id, fleet.Failing)
+		}
+	}
+	for _, id := range t.Fleet.Judged(now, fleet.Failing, ids) {
+		off = append(off, names[id])
+	}
+	t.mu.Unlock()
+	slices.Sort(off)
+	if !slices.Equal(off, t.judged) {
+		t.judged = off
+		t.Shun(off)
+	}
+}
+
 // asksLimit is the place of the one limit that there is: fills that ask the head office.
 const asksLimit = 0
 
+// share is this router's part of the limit; 0 where there is none. t.mu is held.
+func (t *Talk) share(now int64) float64 {
+	if t.Lease == nil {
+		return 0
+	}
+	return t.Fleet.Share(now, asksLimit)
+}
+
 // hear takes in a datagram of the fleet's limits, and sends what it calls for.
 func (t *Talk) hear(rank int, datagram []byte, from netip.AddrPort) {
 	now := clock.Micros(t.Clock.Steady())
 	t.mu.Lock()
 	err := t.Fleet.Hear(now, rank, datagram)
-	share := t.Fleet.Share(now, asksLimit)
+	share := t.share(now)
 	t.mu.Unlock()
 	if err != nil && !errors.Is(err, fleet.ErrOld) {
 		t.fault(err, from)
 	}
-	t.Lease(share)
+	if t.Lease != nil {
+		t.Lease(share)
+	}
 	t.post(context.Background())
 }
 
@@ -261,8 +313,12 @@
 		return
 	}
 	for _, p := range out {
-		if _, err := conn.WriteToUDPAddrPort(p.bytes, t.Peers[p.to]); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
-			t.fault(fmt.Errorf("write: %w", err), t.Peers[p.to]) // lost, as datagrams may be
+		at := t.All
+		if p.to != fleet.Everybody {
+			at = t.Peers[p.to]
+		}
+		if _, err := conn.WriteToUDPAddrPort(p.bytes, at); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+			t.fault(fmt.Errorf("write: %w", err), at) // lost, as datagrams may be
 		}
 	}
 }
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -27,3 +27,22 @@
 	defer r.mu.Unlock()
 	return r.rules.Asking(), r.Counters.Refused.Load()
 }
+
+// Sources names the listed area caches, and those of them that breakers keep this router off.
+func (r *Router) Sources() (all, shut []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Sources(clock.Micros(r.clock.Now()))
+}
+
+// Shun keeps this router off the servers that the fleet's verdicts name, and off no others that they named before. Nothing new goes to them, as
+// to one that drains. It tells which have come and which have gone.
+func (r *Router) Shun(ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := r.list.Shun(ids)
+	for _, row := range rows {
+		r.log.Info().Str("server", row.Node).Bool("off", row.Status != "healthy").Msg("fleet's verdict")
+	}
+	r.hear(rows)
+}
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -25,6 +25,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
+	"spantack/core/coldstart"
 	"spantack/lab/local"
 	"spantack/standin/link"
 )
@@ -56,19 +57,26 @@
 	Regains bool     `json:"regains,omitempty"` // more than the floors must be out before the step ends; it ends then
 	Floors  bool     `json:"floors,omitempty"`  // no more than the floors may be out
 	Fills   bool     `json:"fills,omitempty"`   // and some must be
+	Lose    bool     `json:"lose,omitempty"`    // the first area cache dies, and nothing is listed
+	Named   *int     `json:"named,omitempty"`   // so many fills may still name it after SettleS, by the caches' ledger
 	Slack   int      `json:"slack,omitempty"`   // more that may be out than the limit
+	Board   string   `json:"board,omitempty"`   // the list service: "cut", "silent", "breaks" (each connection, ten times a second) or "open"; left out: as before
+	Tries   bool     `json:"tries,omitempty"`   // the bound on tries at the list service must hold
+	AllBack bool     `json:"allBack,omitempty"` // all that live must be connected to it before the step ends; it ends then
 }
 
 // Scenario is one file.
 type Scenario struct {
-	Name    string  `json:"-"`
-	Title   string  `json:"title"`
-	Asks    float64 `json:"asks"` // the limit, for each router
-	Floor   float64 `json:"floor"`
-	DelayMs float64 `json:"delayMs"`
-	EveryMs float64 `json:"everyMs"`
-	Weather Weather `json:"weather"`
-	Steps   []Step  `json:"steps"`
+	Name     string  `json:"-"`
+	Title    string  `json:"title"`
+	Asks     float64 `json:"asks"` // the limit, for each router; 0: none is kept
+	Floor    float64 `json:"floor"`
+	Depots   int     `json:"depots,omitempty"`
+	Verdicts bool    `json:"verdicts,omitempty"`
+	DelayMs  float64 `json:"delayMs"`
+	EveryMs  float64 `json:"everyMs"`
+	Weather  Weather `json:"weather"`
+	Steps    []Step  `json:"steps"`
 }
 
 // Names of the scenarios.
@@ -110,6 +118,9 @@
 	return s, nil
 }
 
+// areas is how many area caches there are: verdicts keep off one in three at most.
+const areas = 3
+
 // Options of a play.
 type Options struct {
 	Routers int
@@ -120,12 +131,15 @@
 
 // Kept is what became of a step.
 type Kept struct {
-	Step  string  `json:"step"`
-	Most  int     `json:"most"`  // out at the head office at once, by its own ledger
-	Bound int     `json:"bound"` // what may have been
-	Fills int     `json:"fills"`
-	TookS float64 `json:"tookS"` // until more than the floors were out, or the step's length
-	Fault string  `json:"fault,omitempty"`
+	Step     string  `json:"step"`
+	Most     int     `json:"most"`  // out at the head office at once, by its own ledger
+	Bound    int     `json:"bound"` // what may have been
+	Fills    int     `json:"fills"`
+	TookS    float64 `json:"tookS"` // until more than the floors were out, or the step's length
+	Fault    string  `json:"fault,omitempty"`
+	Named    int     `json:"named,omitempty"` // fills that named a dead area cache after the step had settled
+	Tries    int     `json:"tries,omitempty"` // most at the list service within 100 ms
+	TriesMay int     `json:"triesMay,omitempty"`
 }
 
 // Result is what a play came to.
@@ -166,12 +180,12 @@
 	if len(r.Faults()) > 0 {
 		verdict = "short"
 	}
-	most, slowest := 0, 0.0
+	most, tries := 0, 0
 	for _, s := range r.Steps {
-		most, slowest = max(most, s.Most), max(slowest, s.TookS)
+		most, tries = max(most, s.Most), max(tries, s.Tries)
 	}
-	return fmt.Sprintf("RESULT %s routers=%d seed=%d verdict=%s limit=%d most=%d served=%d refused=%d failed=%d lost=%d wrong=%d", r.Scenario, r.Routers, r.Seed,
-		verdict, r.Limit, most, r.Served, r.Refused, r.Failed, r.Lost, r.Wrong)
+	return fmt.Sprintf("RESULT %s routers=%d seed=%d verdict=%s limit=%d most=%d tries=%d served=%d refused=%d failed=%d lost=%d wrong=%d", r.Scenario, r.Routers, r.Seed,
+		verdict, r.Limit, most, tries, r.Served, r.Refused, r.Failed, r.Lost, r.Wrong)
 }
 
 // play is a scenario under way.
@@ -191,12 +205,16 @@
 // Play runs a scenario. Its error is of the rig; what fell short is in the result.
 func (s *Scenario) Play(ctx context.Context, opt Options) (*Result, error) {
 	limit := s.Asks * float64(opt.Routers)
-	features, err := json.Marshal(map[string]any{"fleet": map[string]any{"enabled": true, "asks": limit, "floor": s.Floor}})
-	if err != nil {
-		return nil, err
+	features := ""
+	if s.Asks > 0 || s.Verdicts {
+		text, err := json.Marshal(map[string]any{"fleet": map[string]any{"enabled": true, "asks": limit, "floor": s.Floor, "verdicts": s.Verdicts}})
+		if err != nil {
+			return nil, err
+		}
+		features = string(text)
 	}
-	d, err := local.Start(ctx, local.Options{Routers: opt.Routers, Caches: 4, Areas: 2, Peers: true, Seed: opt.Seed, Binary: opt.Binary,
-		Delay: time.Duration(s.DelayMs * float64(time.Millisecond)), Features: string(features)})
+	d, err := local.Start(ctx, local.Options{Routers: opt.Routers, Depots: s.Depots, Caches: 4, Areas: areas, Peers: features != "", Relayed: true, Seed: opt.Seed, Binary: opt.Binary,
+		Delay: time.Duration(s.DelayMs * float64(time.Millisecond)), Features: features})
 	if err != nil {
 		return nil, err
 	}
@@ -207,8 +225,10 @@
 }
 
 func (p *play) run(ctx context.Context) error {
-	if err := p.set(&p.Weather); err != nil {
-		return err
+	if p.d.Mesh != nil {
+		if err := p.set(&p.Weather); err != nil {
+			return err
+		}
 	}
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
@@ -234,7 +254,10 @@
 	}
 	all := rep.All()
 	p.res.Served, p.res.Refused, p.res.Failed, p.res.Lost, p.res.Wrong = all.Served, all.Refused, all.Failed, all.Lost, all.Wrong
-	p.res.Overlaps, p.res.Longest = len(p.d.Ledger.Overlaps()), p.d.Mesh.Counts().Longest
+	p.res.Overlaps = len(p.d.Ledger.Overlaps())
+	if p.d.Mesh != nil {
+		p.res.Longest = p.d.Mesh.Counts().Longest
+	}
 	return nil
 }
 
@@ -277,14 +300,30 @@
 		p.dead = nil
 	}
 	k := Kept{Step: s.Name, Bound: p.res.Limit + s.Slack, TookS: s.ForS}
+	dialled, _, _, _ := p.d.BoardLink.Counts()
+	p.board(s.Board)
+	lost := p.d.Areas[0].Name()
+	if s.Lose {
+		p.d.Cut(0)
+	}
 	_, before := p.d.Ledger.Asks()
-	begin, flips := time.Now(), 0
+	begin, broke, flips := time.Now(), time.Now(), 0
 	regained := false
 	for time.Since(begin).Seconds() < s.ForS && !regained {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
 		time.Sleep(watchEvery)
+		if s.Board == "breaks" && time.Since(broke) >= breaksEvery {
+			broke = time.Now()
+			p.board("cut")
+			p.board("open")
+		}
+		if s.AllBack {
+			if _, open, _, _ := p.d.BoardLink.Counts(); open >= p.opt.Routers-len(p.dead) {
+				regained, k.TookS = true, time.Since(begin).Seconds()
+			}
+		}
 		out, _ := p.d.Ledger.Asks()
 		bound := p.res.Limit + s.Slack
 		if s.Floors && time.Since(begin).Seconds() > s.SettleS {
@@ -294,7 +333,7 @@
 		k.Most = max(k.Most, out)
 		at := time.Since(p.begin).Seconds()
 		p.res.out, p.res.bound = append(p.res.out, plotter.XY{X: at, Y: float64(out)}), append(p.res.bound, plotter.XY{X: at, Y: float64(bound)})
-		if out > bound && k.Fault == "" {
+		if p.Asks > 0 && out > bound && k.Fault == "" {
 			k.Fault = fmt.Sprintf("%d out at the head office %.2f s into it, %d may be", out, time.Since(begin).Seconds(), bound)
 		}
 		if s.Regains && out > p.res.Floors+p.res.Floors/4 {
@@ -311,8 +350,20 @@
 		}
 	}
 	_, after := p.d.Ledger.Asks()
+	for _, g := range p.d.Ledger.Gets() {
+		if s.Named != nil && g.Next == lost && g.At.Sub(begin).Seconds() > s.SettleS {
+			k.Named++
+		}
+	}
+	k.Tries, k.TriesMay = p.d.BoardLink.MostDials(len(dialled), triesIn), p.triesMay()
 	switch k.Fills = after - before; {
 	case k.Fault != "":
+	case s.Named != nil && k.Named > *s.Named:
+		k.Fault = fmt.Sprintf("%d fills name an area cache %.1f s after it died, %d may", k.Named, s.SettleS, *s.Named)
+	case s.Tries && k.Tries > k.TriesMay:
+		k.Fault = fmt.Sprintf("%d tries at the list service within %v, %d may be", k.Tries, triesIn, k.TriesMay)
+	case s.AllBack && !regained:
+		k.Fault = "not all routers are back at the list service"
 	case s.Regains && !regained:
 		k.Fault = fmt.Sprintf("never more out than the %d of the floors", p.res.Floors)
 	case s.Fills && k.Fills == 0:
@@ -327,6 +378,30 @@
 	return nil
 }
 
+// What tries at the list service are counted by, and how often it breaks off.
+const (
+	triesIn     = 100 * time.Millisecond
+	breaksEvery = 100 * time.Millisecond
+)
+
+// triesMay is the bound of core/coldstart on tries within triesIn, twice over for processes that a busy machine runs late.
+func (p *play) triesMay() int {
+	period := coldstart.Tries{Siblings: p.opt.Routers}.Period()
+	return 2 * (p.opt.Routers*int(triesIn.Microseconds())/int(period) + 1)
+}
+
+// board does to the list service what a step says.
+func (p *play) board(how string) {
+	switch how {
+	case "cut":
+		p.d.BoardLink.Set(link.State{Cut: true})
+	case "silent":
+		p.d.BoardLink.Set(link.State{Silent: true})
+	case "open", "breaks":
+		p.d.BoardLink.Set(link.State{})
+	}
+}
+
 // strike kills or freezes whom a step names.
 func (p *play) strike(s *Step) error {
 	var victims []int
@@ -400,13 +475,13 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "# %s: %d routers, seed %d\n\nLimit %d, of it floors %d. Most out at the head office at once, by its own ledger.\n\n", r.Scenario, r.Routers, r.Seed, r.Limit, r.Floors)
-	b.WriteString("| step | most out | may be | fills | s | |\n|---|---|---|---|---|---|\n")
+	b.WriteString("Tries are at the list service, the most within 100 ms.\n\n| step | most out | may be | fills | tries | may be | named | s | |\n|---|---|---|---|---|---|---|---|---|\n")
 	for _, s := range r.Steps {
 		word := s.Fault
 		if word == "" {
 			word = "kept"
 		}
-		fmt.Fprintf(&b, "| %s | %d | %d | %d | %.1f | %s |\n", s.Step, s.Most, s.Bound, s.Fills, s.TookS, word)
+		fmt.Fprintf(&b, "| %s | %d | %d | %d | %d | %d | %d | %.1f | %s |\n", s.Step, s.Most, s.Bound, s.Fills, s.Tries, s.TriesMay, s.Named, s.TookS, word)
 	}
 	fmt.Fprintf(&b, "\n%s\n", r.Line())
 	for name, text := range map[string][]byte{"result.json": append(text, '\n'), "table.md": b.Bytes()} {
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -29,6 +29,25 @@
 	t.Log(r.Line())
 }
 
+// Sixteen processes of four depots lose one of three area caches that the list goes on calling ready. Without verdicts seven fills still name it after
+// the step has settled.
+func TestFleetVerdicts(t *testing.T) {
+	s, err := Load("fleet-verdicts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	r, err := s.Play(ctx, Options{Routers: 16, Seed: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range r.Faults() {
+		t.Error(fault)
+	}
+	t.Log(r.Line(), r.Steps)
+}
+
 func TestNames(t *testing.T) {
 	for _, name := range Names() {
 		if _, err := Load(name); err != nil {
--- a/lab/local/coldstart_test.go
+++ b/lab/local/coldstart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 
@@ -10,18 +9,6 @@
 	"spantack/standin/link"
 )
 
-// most is the greatest number of times within any d.
-func mostWithin(times []time.Time, d time.Duration) (most int) {
-	slices.SortFunc(times, time.Time.Compare)
-	for i, j := 0, 0; i < len(times); i++ {
-		for times[i].Sub(times[j]) >= d {
-			j++
-		}
-		most = max(most, i-j+1)
-	}
-	return most
-}
-
 // Twenty-four real routers lose the list service at one moment, for 3 s, twice; then it takes connections and breaks them off at once. By its own
 // ledger their tries keep the stated bound all the time, with twice its number for processes that a busy machine runs late; before, all of them tried
 // within the same milliseconds, every 250 ms. When it is back, all are there within a period and what a late process needs.
@@ -68,7 +55,7 @@
 		tries := after[len(before):]
 		for _, part := range []time.Duration{4, 1} {
 			span := period / part
-			if most, bound := mostWithin(tries, span), 2*(routers/int(part)+1); most > bound {
+			if most, bound := d.BoardLink.MostDials(len(before), span), 2*(routers/int(part)+1); most > bound {
 				t.Errorf("round %d: %d tries within %v, %d at most", round, most, span, bound)
 			}
 		}
--- a/lab/local/local.go
+++ b/lab/local/local.go
@@ -29,6 +29,7 @@
 // Options describe a deployment of one depot.
 type Options struct {
 	Routers  int
+	Depots   int // that caches and routers are dealt out to in turn; 0: one
 	Caches   int
 	Areas    int    // area caches; 0: one
 	Features string // text of a features file; empty: none
@@ -180,9 +181,9 @@
 	d.mu.Lock()
 	d.servers[s.Name()] = s
 	d.mu.Unlock()
-	zone := byte(1)
-	if kind != kindCache {
-		zone = 0
+	zone := byte(0)
+	if kind == kindCache {
+		zone = byte(1 + len(d.Caches)%max(d.opt.Depots, 1))
 	}
 	d.known = append(d.known, board.Server{ID: opt.ID, Addr: s.Addr(), Zone: zone, Kind: kind, Weight: 4, Started: started})
 	return s, nil
@@ -267,6 +268,21 @@
 	}
 }
 
+// settings are those of one router: its depot and its rank.
+func (d *Deployment) settings(i int) map[string]any {
+	set := Settings(d.opt.Routers)
+	set["Rank"] = i
+	if depots := d.opt.Depots; depots > 1 {
+		zones, seats := []string{"hub"}, []int{0}
+		for at := range depots {
+			zones, seats = append(zones, fmt.Sprintf("depot-%02d", at)), append(seats, (d.opt.Routers-at+depots-1)/depots)
+		}
+		set["Zones"], set["Zone"] = zones, zones[1+i%depots]
+		set["Extra"].(map[string]any)["SeatsByZone"] = seats
+	}
+	return set
+}
+
 // freeAddr finds a free port of loopback.
 func freeAddr() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -350,8 +366,7 @@
 // Configure writes a router's configuration; change, if not nil, may do what it likes with the document before. Routers take it on SIGHUP.
 func (d *Deployment) Configure(i int, change func(doc map[string]any)) error {
 	doc := map[string]any{"seed": fmt.Sprintf("%016x", 7919*(i+1)), "limits": map[string]any{"memory_mb": 192, "sockets": 512},
-		"board": d.boardAddr(), "known": map[string]any{"rev": 0, "notices": []any{}}, "settings": Settings(d.opt.Routers)}
-	doc["settings"].(map[string]any)["Rank"] = i
+		"board": d.boardAddr(), "known": map[string]any{"rev": 0, "notices": []any{}}, "settings": d.settings(i)}
 	if d.Mesh != nil {
 		d.speak(i, doc)
 	}
--- a/rules/retune.go
+++ b/rules/retune.go
@@ -75,6 +75,22 @@
 	return nil
 }
 
+// Sources names the listed area caches, and those of them that breakers of this router keep it off.
+func (r *Router) Sources(now int64) (all, shut []string) {
+	for _, n := range r.nodes {
+		if n.role != roleParent || n.gone {
+			continue
+		}
+		all = append(all, n.name)
+		if n.brk.open(now) {
+			shut = append(shut, n.name)
+		}
+	}
+	slices.Sort(all)
+	slices.Sort(shut)
+	return all, shut
+}
+
 // Avoided names the listed caches of the own depot that requests are kept off by their breakers.
 func (r *Router) Avoided(now int64) (names []string) {
 	for _, n := range r.caches {
--- a/standin/link/relay.go
+++ b/standin/link/relay.go
@@ -64,6 +64,19 @@
 	return append([]time.Time(nil), r.dials...), len(r.conns) / 2, r.bytes[0], r.bytes[1]
 }
 
+// MostDials is the greatest number of connections asked for within any d, of those after the first so many.
+func (r *Relay) MostDials(after int, d time.Duration) (most int) {
+	dials, _, _, _ := r.Counts()
+	dials = dials[after:]
+	for i, j := 0, 0; i < len(dials); i++ {
+		for dials[i].Sub(dials[j]) >= d {
+			j++
+		}
+		most = max(most, i-j+1)
+	}
+	return most
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	r.l.Close()
