--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -6,6 +6,8 @@
 	"math/bits"
 	"math/rand/v2"
 	"slices"
+
+	"spantack/core/peers"
 )
 
 // State is what a router is held for.
@@ -40,38 +42,15 @@
 
 // member is a router as this one knows it.
 type member struct {
-	rumour         // what is known, and passed on
-	window  window // datagrams of it that came
-	heard   int64  // when; 0: never
-	ends    int64  // of Suspect: when it is held for dead
-	since   int64  // of Suspect
-	with    [3]int // who else suspects it
-	shared  int    // how many of them
-	spread  int    // how often the rumour is still to be passed on
-	accused bool   // it was held for less than up when it was heard itself: it must hear of that
-}
-
-// window tells new datagrams from old and repeated ones: the greatest sequence number of the greatest incarnation and which of the 64 up
-// to that have come.
-type window struct {
-	incarnation, sequence uint32
-	came                  uint64
-}
-
-func (w *window) take(incarnation, sequence uint32) bool {
-	switch behind := w.sequence - sequence; {
-	case incarnation > w.incarnation:
-		*w = window{incarnation, sequence, 1}
-	case incarnation < w.incarnation:
-		return false
-	case sequence > w.sequence:
-		w.came, w.sequence = w.came<<(sequence-w.sequence)|1, sequence
-	case behind >= 64 || w.came&(1<<behind) != 0:
-		return false
-	default:
-		w.came |= 1 << behind
-	}
-	return true
+	rumour               // what is known, and passed on
+	window  peers.Window // datagrams of it that came
+	heard   int64        // when; 0: never
+	ends    int64        // of Suspect: when it is held for dead
+	since   int64        // of Suspect
+	with    [3]int       // who else suspects it
+	shared  int          // how many of them
+	spread  int          // how often the rumour is still to be passed on
+	accused bool         // it was held for less than up when it was heard itself: it must hear of that
 }
 
 // newer reports that a replaces b: by incarnation, refutation, and of the same the graver state.
@@ -344,7 +323,7 @@
 		return fmt.Errorf("%w: rank %d, depot %d", ErrStranger, m.rank, m.depot)
 	}
 	from := &n.members[rank]
-	if !from.window.take(m.incarnation, m.sequence) {
+	if !from.window.Take(m.incarnation, m.sequence) {
 		return fmt.Errorf("%w: rank %d, %d of %d", ErrOld, rank, m.sequence, m.incarnation)
 	}
 	from.heard = now
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -43,26 +43,26 @@
 	Incarnation    uint32 // greater at each start of this router, such as the start's Unix time in seconds
 }
 
-// heard is what was heard of a router: the greatest sequence number of its greatest incarnation, and which of the 64 up to that,
-// by bits from the lowest, have come. Datagrams overtake one another; one that came is not taken in again.
-type heard struct {
+// Window tells new datagrams of a router from old and repeated ones: the greatest sequence number of its greatest incarnation, and which of the 64
+// up to that, by bits from the lowest, have come. Datagrams overtake one another; one that came is not taken in again.
+type Window struct {
 	incarnation, sequence uint32
 	came                  uint64
 }
 
-// take books a datagram and tells whether it is new.
-func (h *heard) take(incarnation, sequence uint32) bool {
-	switch behind := h.sequence - sequence; {
-	case incarnation > h.incarnation:
-		*h = heard{incarnation, sequence, 1}
-	case incarnation < h.incarnation:
+// Take books a datagram and tells whether it is new.
+func (w *Window) Take(incarnation, sequence uint32) bool {
+	switch behind := w.sequence - sequence; {
+	case incarnation > w.incarnation:
+		*w = Window{incarnation, sequence, 1}
+	case incarnation < w.incarnation:
 		return false
-	case sequence > h.sequence:
-		h.came, h.sequence = h.came<<(sequence-h.sequence)|1, sequence
-	case behind >= 64 || h.came&(1<<behind) != 0:
+	case sequence > w.sequence:
+		w.came, w.sequence = w.came<<(sequence-w.sequence)|1, sequence
+	case behind >= 64 || w.came&(1<<behind) != 0:
 		return false
 	default:
-		h.came |= 1 << behind
+		w.came |= 1 << behind
 	}
 	return true
 }
@@ -87,7 +87,7 @@
 	sequence uint32
 	budget   float64 // datagrams that may be sent at once
 	budgetAt int64
-	routers  map[int]heard
+	routers  map[int]Window
 	servers  map[uint32]*talk
 	in       Message
 }
@@ -104,7 +104,7 @@
 	case o.Depot < 0 || o.Depot >= o.Depots:
 		return nil, fmt.Errorf("Depot: %d of %d", o.Depot, o.Depots)
 	}
-	return &Tier{opt: o, budget: tellBurst, routers: map[int]heard{}, servers: map[uint32]*talk{}}, nil
+	return &Tier{opt: o, budget: tellBurst, routers: map[int]Window{}, servers: map[uint32]*talk{}}, nil
 }
 
 // Speaks tells whether the tier is large enough for its words to count anywhere.
@@ -161,7 +161,7 @@
 		return fmt.Errorf("%w: rank %d, depot %d", ErrStranger, m.Rank, m.Depot)
 	}
 	last := t.routers[rank]
-	if !last.take(m.Incarnation, m.Sequence) {
+	if !last.Take(m.Incarnation, m.Sequence) {
 		return fmt.Errorf("%w: rank %d, %d of %d", ErrOld, rank, m.Sequence, m.Incarnation)
 	}
 	t.routers[rank] = last
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -189,12 +189,12 @@
 // Datagrams that overtake one another are each taken in once, in any order within 64.
 func TestReordered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var h heard
+		var h Window
 		came := map[uint32]bool{}
 		greatest := uint32(0)
 		for _, n := range rapid.SliceOfN(rapid.Uint32Range(1, 200), 1, 300).Draw(t, "numbers") {
 			want := !came[n] && (n > greatest || greatest-n < 64)
-			if got := h.take(1, n); got != want {
+			if got := h.Take(1, n); got != want {
 				t.Fatalf("%d after %d: taken in %v", n, greatest, got)
 			}
 			if want {
--- a/lab/experiments/second-site.jsonnet
+++ b/lab/experiments/second-site.jsonnet
@@ -17,6 +17,8 @@
     { name: 'calm day', of: 'site/calm/timely', least: 0.97 },
     { name: 'refused on a calm day', of: 'site/calm/refused', most: 0.02 },
     { name: 'calm day before a far head office', of: 'site/calm/timely', over: 'near/calm/timely', least: 0.97 },
+    { name: 'jam that outlives purge and slow head office', of: 'site/both/end', over: 'site/calm/end', least: 0.93 },
+    { name: 'that day, with reports against without', of: 'site/both/timely', over: 'silent/both/timely', least: 0.95 },
     { name: 'no rule broken', of: 'all/broken', most: 0 },
   ],
   table: ['timely', 'end', 'hits', 'originMb', 'refused', 'attemptsEach', 'p99CatalogueMs', 'broken'],
