A keeper that does not answer is passed over by own evidence, not by the tier's word

Cause: a candidate for keeper was passed over only once held for dead, and word of 120 dead at once takes a minute to get round (25 rumours a datagram). Now four asks unanswered pass a router over for 12 s; a hint that it lends to others wins over that. The core's tests pass.

--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -17,6 +18,9 @@
 	wantKept  = 3_000_000 // what a router asked for counts so long
 	drift     = 0.02      // by which rates of clocks differ at most
 
+	silentAsks = 4          // unanswered: that router is passed over as a keeper
+	passedOver = 12_000_000 // for so long
+
 	mostLimits = 8
 	mostAsks   = 8 // asks whose loans may still come
 	mostLoans  = 5 // of one router that may still be used: it asks every renewal, and a loan lasts less than four
@@ -88,11 +92,13 @@
 		sequence uint32
 		at       int64
 	}
-	asked64   int    // asks made
-	answered  uint32 // the newest ask that was answered
-	loan      loan   // by the own clock
-	reignedAt int64  // when its keeper last lent
-	hint      int    // whom others have
+	asked64   int           // asks made
+	answered  uint32        // the newest ask that was answered
+	loan      loan          // by the own clock
+	reignedAt int64         // when its keeper last lent
+	silent    int           // asks since the last that was answered
+	passed    map[int]int64 // routers that do not answer asks, and until when they are passed over
+	hint      int           // whom others have
 	hintAt    int64
 	due       int64
 
@@ -123,7 +129,7 @@
 	if err := opt.Check(); err != nil {
 		return nil, err
 	}
-	return &lending{n: n, at: at, opt: opt, keeper: nobody, hint: nobody, borrowers: make([]borrower, n.opt.Siblings)}, nil
+	return &lending{n: n, at: at, opt: opt, keeper: nobody, hint: nobody, passed: map[int]int64{}, borrowers: make([]borrower, n.opt.Siblings)}, nil
 }
 
 func (k *lending) floor() float64 { return k.opt.Most * k.opt.Floor / float64(k.n.opt.Siblings) }
@@ -192,13 +198,16 @@
 // hinted is told whom another router has for the keeper.
 func (k *lending) hinted(now int64, rank int) { k.hint, k.hintAt = rank, now }
 
+// fit reports that a router may be a keeper: it is held for up, and answers.
+func (k *lending) fit(rank int) bool { return k.n.Up(rank) && k.passed[rank] == 0 }
+
 // candidate is the router that all who hold the same ones for up name: the highest by a hash of limit and rank (D. Thaler, C.
 // Ravishankar, "Using name-based mappings to increase hit rates", 1998).
 func (k *lending) candidate() (best int) {
 	top := uint64(0)
 	best = k.n.opt.Rank
 	for rank := range k.n.members {
-		if h := mix(uint64(k.at)<<32 | uint64(rank)); h > top && k.n.Up(rank) {
+		if h := mix(uint64(k.at)<<32 | uint64(rank)); h > top && k.fit(rank) {
 			top, best = h, rank
 		}
 	}
@@ -216,17 +225,21 @@
 // choose settles whom to ask, nobody while a promise to one that is no use any more has not ended. A keeper that lends is kept to; else it is
 // the one that others have, or the candidate.
 func (k *lending) choose(now int64) int {
+	maps.DeleteFunc(k.passed, func(_ int, until int64) bool { return now >= until })
+	if k.silent >= silentAsks && k.keeper != nobody { // own evidence, sooner than the tier's word of it gets round
+		k.passed[k.keeper], k.silent = now+passedOver, 0
+	}
 	target := k.hint
 	if target == nobody || now-k.hintAt >= hintKept || !k.n.Up(target) {
 		target = k.candidate()
 	}
 	switch {
-	case k.keeper != nobody && k.n.Up(k.keeper) && (k.keeper == target || k.reigns(now) != nobody):
+	case k.keeper != nobody && (k.fit(k.keeper) || k.keeper == target) && k.n.Up(k.keeper) && (k.keeper == target || k.reigns(now) != nobody):
 		return k.keeper
 	case now < k.until:
 		return nobody
 	}
-	k.keeper, k.of, k.stamp, k.reignedAt, k.answered = target, 0, 0, 0, 0
+	k.keeper, k.of, k.stamp, k.reignedAt, k.answered, k.silent = target, 0, 0, 0, 0, 0
 	return target
 }
 
@@ -265,6 +278,7 @@
 	k.n.send(to)
 	k.asks[k.asked64%mostAsks].sequence, k.asks[k.asked64%mostAsks].at = k.n.sequence, now
 	k.asked64++
+	k.silent++
 }
 
 // stampAt is a time of this process in milliseconds; it begins anew after 49 days.
@@ -356,6 +370,7 @@
 	if m.rank != k.keeper {
 		return
 	}
+	k.silent = 0
 	if k.of != 0 && m.incarnation != k.of && now < k.until { // the promise was to the process before: it must end first
 		k.stamp = 0
 		return
