One check of a router's place for peers and fleet; limits and depot are asked for once

Found on reading the change again: core/fleet's New repeated core/peers' checks of rank and depot (peers.CheckPlace now), main asked the features file for its limits twice, tier looked the depot up twice, and a count of asks was named asked64. Behaviour and messages are the same; the tests of both packages, of the adapter and of the program pass.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -196,14 +196,15 @@
 	follower.Move(c.Board)
 	group, serving := errgroup.WithContext(serving)
 	var talk *peers.Talk
-	if limits := on.Limits(); (f.Peers || limits != nil || on.Judges()) && c.Tier.May {
+	limits := on.Limits()
+	if (f.Peers || limits != nil || on.Judges()) && c.Tier.May {
 		if talk, err = tier(c, limits, on.Judges(), core, now, log); err != nil {
 			return err
 		}
 	}
 	if talk != nil {
 		group.Go(func() error { return talk.Run(serving) })
-	} else if limits := on.Limits(); limits != nil { // nobody to keep it with: an even share of all that are listed
+	} else if limits != nil { // nobody to keep it with: an even share of all that are listed
 		core.Lease(limits[0].Most / float64(max(c.Settings.Siblings, 1)))
 	}
 	group.Go(func() error { return follower.Run(serving) })
--- a/cmd/spantack/tier.go
+++ b/cmd/spantack/tier.go
@@ -22,8 +22,9 @@
 
 // tier ties what routers tell one another to the decision module. nil: the tier is too small for that.
 func tier(c *config.Config, limits []fleet.Limit, judges bool, core *router.Router, now *clock.Clock, log zerolog.Logger) (*peers.Talk, error) {
-	t, err := tierwide.New(tierwide.Options{Rank: c.Tier.Rank, Siblings: len(c.Tier.Peers), Depot: slices.Index(c.Settings.Zones, c.Settings.Zone),
-		Depots: len(c.Settings.Zones), Incarnation: uint32(now.Now() / 1000)})
+	depot, depots := slices.Index(c.Settings.Zones, c.Settings.Zone), len(c.Settings.Zones)
+	t, err := tierwide.New(tierwide.Options{Rank: c.Tier.Rank, Siblings: len(c.Tier.Peers), Depot: depot, Depots: depots,
+		Incarnation: uint32(now.Now() / 1000)})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -33,7 +34,7 @@
 	talk := &peers.Talk{Tier: t, Listen: c.Tier.Listen, Peers: c.Tier.Peers, All: c.Tier.All, Crowded: core.Crowded, Clock: now, Log: log}
 	if limits != nil || judges {
 		talk.Fleet, err = fleet.New(clock.Micros(now.Steady()), fleet.Options{Rank: c.Tier.Rank, Siblings: len(c.Tier.Peers),
-			Depot: slices.Index(c.Settings.Zones, c.Settings.Zone), Depots: len(c.Settings.Zones), Seed: uint64(c.Seed), Limits: limits,
+			Depot: depot, Depots: depots, Seed: uint64(c.Seed), Limits: limits,
 			Incarnation: uint32((now.Now() - incarnationsFrom) / incarnationEvery)})
 		if err != nil {
 			return nil, fmt.Errorf("settings: %w", err)
--- a/core/fleet/limits.go
+++ b/core/fleet/limits.go
@@ -93,7 +93,7 @@
 		sequence uint32
 		at       int64
 	}
-	asked64   int           // asks made
+	made      int           // asks made
 	answered  uint32        // the newest ask that was answered
 	loan      loan          // by the own clock
 	reignedAt int64         // when its keeper last lent
@@ -277,8 +277,8 @@
 		k.n.Counts.Promises++
 	}
 	k.n.send(to)
-	k.asks[k.asked64%mostAsks].sequence, k.asks[k.asked64%mostAsks].at = k.n.sequence, now
-	k.asked64++
+	k.asks[k.made%mostAsks].sequence, k.asks[k.made%mostAsks].at = k.n.sequence, now
+	k.made++
 	k.silent++
 }
 
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -122,16 +122,10 @@
 
 // New returns a node that starts now and knows nothing but the settings. Its error names the option at fault.
 func New(now int64, o Options) (*Node, error) {
-	switch {
-	case o.Siblings < 1 || o.Siblings > 1<<16:
-		return nil, fmt.Errorf("Siblings: %d", o.Siblings)
-	case o.Rank < 0 || o.Rank >= o.Siblings:
-		return nil, fmt.Errorf("Rank: %d of %d", o.Rank, o.Siblings)
-	case o.Depots < 1 || o.Depots > 1<<16:
-		return nil, fmt.Errorf("Depots: %d", o.Depots)
-	case o.Depot < 0 || o.Depot >= o.Depots:
-		return nil, fmt.Errorf("Depot: %d of %d", o.Depot, o.Depots)
-	case len(o.Limits) > mostLimits:
+	if err := peers.CheckPlace(o.Rank, o.Siblings, o.Depot, o.Depots); err != nil {
+		return nil, err
+	}
+	if len(o.Limits) > mostLimits {
 		return nil, fmt.Errorf("Limits: %d, %d at most", len(o.Limits), mostLimits)
 	}
 	n := &Node{opt: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(o.Rank)<<32|uint64(o.Incarnation))), started: now,
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -92,17 +92,25 @@
 	in       Message
 }
 
+// CheckPlace reports which of a router's place among its siblings and its depot's among all can't be.
+func CheckPlace(rank, siblings, depot, depots int) error {
+	switch {
+	case siblings < 1 || siblings > 1<<16:
+		return fmt.Errorf("Siblings: %d", siblings)
+	case rank < 0 || rank >= siblings:
+		return fmt.Errorf("Rank: %d of %d", rank, siblings)
+	case depots < 1 || depots > 1<<16:
+		return fmt.Errorf("Depots: %d", depots)
+	case depot < 0 || depot >= depots:
+		return fmt.Errorf("Depot: %d of %d", depot, depots)
+	}
+	return nil
+}
+
 // New returns a tier in which nothing was said yet. Its error names the option at fault.
 func New(o Options) (*Tier, error) {
-	switch {
-	case o.Siblings < 1 || o.Siblings > 1<<16:
-		return nil, fmt.Errorf("Siblings: %d", o.Siblings)
-	case o.Rank < 0 || o.Rank >= o.Siblings:
-		return nil, fmt.Errorf("Rank: %d of %d", o.Rank, o.Siblings)
-	case o.Depots < 1 || o.Depots > 1<<16:
-		return nil, fmt.Errorf("Depots: %d", o.Depots)
-	case o.Depot < 0 || o.Depot >= o.Depots:
-		return nil, fmt.Errorf("Depot: %d of %d", o.Depot, o.Depots)
+	if err := CheckPlace(o.Rank, o.Siblings, o.Depot, o.Depots); err != nil {
+		return nil, err
 	}
 	return &Tier{opt: o, budget: tellBurst, routers: map[int]Window{}, servers: map[uint32]*talk{}}, nil
 }
