Clients: an id used again keeps its answer, and no reader misses that it is to leave

Shown by tests that fail on the tree before: - await looked whether the connection is wanted, then took its lock: an Evacuate or the end between the two was overwritten by the idle time, and the connection stayed for 6 s (or Patience). Now a poke stands. - finish took whatever stood under a message id: a cancelled request's handler that ended later took the entry of a request opened under the same id, which then got no answer. Now it knows its own. - a poke from the last answer cut the 50 ms short in which a request on its way is still taken. Ruled out, tests kept: cancel, close, reset, half-close, half a message and a reset, gone after the last byte, each also while the process ends: the handler's context ends at once.

--- /dev/null
+++ b/internal/msgpackrpc/crossings_test.go
@@ -0,0 +1,169 @@
+package msgpackrpc
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"spantack/internal/router"
+)
+
+// What crosses on a client's connection. The client holds back what it sends, and the handler its answer, until the server
+// stands at the point that the test is about.
+
+// Evacuate, or the end, comes between a reader's look whether its connection is wanted and its wait for the next message:
+// the connection must close as others do, and not stay for the idle time.
+func TestEmptiedWhileReaderLooks(t *testing.T) {
+	for name, empty := range map[string]func(*client){
+		"evacuate": func(c *client) { c.Evacuate() },
+		"end": func(c *client) {
+			c.stop()
+			for !c.draining() {
+				time.Sleep(time.Millisecond)
+			}
+			c.Server.mu.Lock()
+			rest := c.all()
+			c.Server.mu.Unlock()
+			for _, o := range rest { // its own pokes may come a moment later: these are the same
+				o.poke()
+			}
+		},
+	} {
+		var c *client
+		started, looks := make(chan struct{}), 0
+		testHookAwait = func() {
+			<-started
+			if looks++; looks == 2 { // after the first message
+				empty(c)
+			}
+		}
+		c = start(t)
+		close(started)
+		c.Write(encode(nil, []any{uint64(0), uint64(1), "health", []any{map[string]any{}}}))
+		c.expect("[1 1 <nil> [true map[]]]")
+		c.SetReadDeadline(time.Now().Add(idleLimit / 3 * time.Millisecond))
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: the connection stays: %v", name, err)
+		}
+		c.stop()
+		c.Close()
+		if err := <-c.ended; err != nil {
+			t.Error(err)
+		}
+	}
+	testHookAwait = func() {}
+}
+
+// deadlines is a connection that counts how often its reader's time is set.
+type deadlines struct {
+	net.Conn
+	set int
+}
+
+func (d *deadlines) SetReadDeadline(time.Time) error { d.set++; return nil }
+
+// A reader that looks for a last message has its time for that, whoever pokes it meanwhile: a request on its way counts
+// as taken.
+func TestPokeInLastLook(t *testing.T) {
+	d := &deadlines{}
+	c := &conn{net: d, leaving: true}
+	c.poke()
+	if d.set != 0 {
+		t.Error("the last look was cut short")
+	}
+	c = &conn{net: d}
+	if c.poke(); d.set != 1 {
+		t.Error("a waiting reader was not woken")
+	}
+}
+
+// A cancelled request's handler ends when its message id stands for another request: that one still gets its answer.
+func TestIdUsedAgainAfterCancel(t *testing.T) {
+	enter, leave := make(chan string), make(chan router.Answer)
+	c := start(t, func(s *Server) {
+		s.Handle = func(_ context.Context, q router.Request) router.Answer { // ends when the test says so, cancelled or not
+			enter <- q.ID
+			return <-leave
+		}
+	})
+	c.request(1, "page", "0000000000000001")
+	<-enter
+	c.Write(encode(nil, []any{uint64(2), "cancel", []any{uint64(1)}}))
+	c.request(1, "page", "0000000000000002")
+	if id := <-enter; id != "0000000000000002" {
+		t.Fatalf("asked %s", id)
+	}
+	leave <- router.Answer{} // either of them: both wait for the same word, so it is said twice
+	for {                    // until one handler has ended
+		c.Server.mu.Lock()
+		booked := c.queued
+		c.Server.mu.Unlock()
+		if booked == requestCost {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	leave <- router.Answer{Verdict: router.Failed}
+	c.expect("[1 1 [Error map[]] <nil>]")
+}
+
+// A client leaves in each way there is, while its request waits: before the end of the process has begun and after. The
+// handler is told, so that nothing more is sent on.
+func TestWaysOfLeaving(t *testing.T) {
+	for name, leave := range map[string]func(c *client){
+		"cancel": func(c *client) { c.Write(encode(nil, []any{uint64(2), "cancel", []any{uint64(1)}})) },
+		"close":  func(c *client) { c.Close() },
+		"reset":  func(c *client) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+		"half-close": func(c *client) {
+			c.Conn.(*net.TCPConn).CloseWrite()
+		},
+		"half a message and a reset": func(c *client) {
+			c.Write([]byte("\x94\x00\x02\xa4pa"))
+			c.Conn.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+	} {
+		for _, ending := range []bool{false, true} {
+			c := start(t)
+			c.request(1, "page", "0000000000000001")
+			a := <-c.asked
+			if ending {
+				c.stop()
+				for !c.draining() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			leave(c)
+			select {
+			case <-a.ctx.Done():
+			case <-time.After(10 * time.Second):
+				t.Errorf("%s, ending %v: the request waits on", name, ending)
+			}
+		}
+	}
+}
+
+// A client writes its last byte and is gone: whether its request was begun or not, it does not wait on.
+func TestGoneAtOnce(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		c := start(t)
+		c.request(1, "page", "0000000000000001")
+		if reset {
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+		for gone := false; !gone; {
+			select {
+			case a := <-c.asked:
+				<-a.ctx.Done()
+			default:
+				c.Server.mu.Lock()
+				gone = len(c.conns) == 0 && c.queued == 0
+				c.Server.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -82,7 +82,7 @@
 			time.Sleep(clock.Duration(acceptPause)) // out of descriptors, say: try again without spinning
 			continue
 		}
-		c := &conn{server: s, net: nc, open: map[uint64]context.CancelFunc{}, queue: make(chan answer, queueRoom),
+		c := &conn{server: s, net: nc, open: map[uint64]*taken{}, queue: make(chan answer, queueRoom),
 			quietAt: s.Clock.Now()}
 		if !s.place(c) {
 			nc.Close()
@@ -245,13 +245,21 @@
 	queue  chan answer
 
 	mu      sync.Mutex
-	open    map[uint64]context.CancelFunc // by message id
-	unsent  int                           // answers queued and not yet written
-	inside  bool                          // the reader is within a message
-	spoken  bool                          // a whole message has come
-	quietAt float64                       // when it last became quiet: connected, or the last answer written
+	open    map[uint64]*taken // by message id
+	unsent  int               // answers queued and not yet written
+	inside  bool              // the reader is within a message
+	leaving bool              // the reader looks for a last message
+	poked   bool              // poke came since the reader left the last message
+	spoken  bool              // a whole message has come
+	quietAt float64           // when it last became quiet: connected, or the last answer written
 }
 
+// taken is a request that is open. It is told from a later one under the same message id by its address.
+type taken struct{ cancel context.CancelFunc }
+
+// testHookAwait is called where a reader has looked whether its connection is wanted, before it acts on that.
+var testHookAwait = func() {}
+
 // rank orders connections by how gladly they are let go, the least first: those that never said anything, then
 // those that are quiet for longest. One that is owed an answer is not let go.
 func (c *conn) rank() float64 {
@@ -312,7 +320,8 @@
 func (c *conn) poke() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inside {
+	c.poked = true
+	if !c.inside && !c.leaving { // a last look has its time: requests are on their way
 		c.net.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -326,13 +335,21 @@
 }
 
 // await sets the time by which the next message must begin. When the connection is not wanted any more, that is
-// soon: what the client wrote before it could know counts as taken.
+// soon: what the client wrote before it could know counts as taken. A poke that comes meanwhile stands: the reader is
+// back here at once.
 func (c *conn) await() (last bool) {
+	c.mu.Lock()
+	c.inside, c.leaving, c.poked = false, false, false
+	c.mu.Unlock()
 	draining, refuses := c.server.draining(), c.server.refuses()
+	testHookAwait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inside = false
+	if c.poked {
+		return false
+	}
 	last = draining && len(c.open) == 0
+	c.leaving = last
 	wait := float64(idleLimit)
 	switch {
 	case last && refuses:
@@ -425,8 +442,10 @@
 	_, twice := c.open[m.id]
 	room := reserved && !twice && len(c.open) < maxOpen
 	var one context.Context
+	own := &taken{}
 	if room {
-		one, c.open[m.id] = context.WithCancel(ctx)
+		one, own.cancel = context.WithCancel(ctx)
+		c.open[m.id] = own
 	}
 	c.mu.Unlock()
 	if reserved && !room {
@@ -443,7 +462,7 @@
 		a := s.handle(one, q)
 		c.sent(1) // or the connection might give way between here and the answer's place in the queue
 		defer c.sent(-1)
-		if c.finish(m.id) && a.Verdict != router.None {
+		if c.finish(m.id, own) && a.Verdict != router.None {
 			if err := c.answer(m.id, a); err != nil {
 				s.fault(err)
 				c.net.Close()
@@ -476,20 +495,26 @@
 func (c *conn) cancel(ids []any) {
 	for _, v := range ids {
 		if id, ok := toUint(v); ok {
-			c.finish(id)
+			c.mu.Lock()
+			one := c.open[id]
+			c.mu.Unlock()
+			c.finish(id, one)
 		}
 	}
 }
 
-// finish takes a request off the open ones. It is true once for each: whoever gets it may answer.
-func (c *conn) finish(id uint64) bool {
+// finish takes a request off the open ones. It is true once for each: whoever gets it may answer. A request that was
+// cancelled ends here a second time, when its id may stand for another.
+func (c *conn) finish(id uint64, one *taken) bool {
 	c.mu.Lock()
-	cancel, open := c.open[id]
-	delete(c.open, id)
+	open := one != nil && c.open[id] == one
+	if open {
+		delete(c.open, id)
+	}
 	last := len(c.open) == 0
 	c.mu.Unlock()
 	if open {
-		cancel()
+		one.cancel()
 	}
 	if last && c.server.draining() {
 		c.poke()
