Servers taken out by hand: a call can no longer be undone by what was read before it

Cause: Follow read what is out and adopted it without the lock (shelf.go), so that a call made between the two was undone for up to 100 ms. Now both under a shared lock; where another has it, the next look.

Ruled out: a new process that says that it serves after it was asked to: its second address, by which it says yes, opens only once the shelf has its word (cmd/spantack). Beliefs are read whole while they are written: a file is replaced by a rename.

--- a/internal/manage/shelf.go
+++ b/internal/manage/shelf.go
@@ -125,14 +125,11 @@
 	if s == nil {
 		return change()
 	}
-	lock, err := os.OpenFile(filepath.Join(s.dir, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	unlock, err := s.lock(syscall.LOCK_EX)
 	if err != nil {
-		return fmt.Errorf("lock of what is out: %w", err)
-	}
-	defer lock.Close() // gives the lock back too
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
-		return fmt.Errorf("lock of what is out: %w", err)
+		return err
 	}
+	defer unlock()
 	s.Restore(adopt)
 	if err := change(); err != nil {
 		return err
@@ -140,7 +137,20 @@
 	return s.write(outsFile, append([]string{}, outs()...)) // an empty list, where nothing is out: null would be no list
 }
 
-// Follow adopts what the other process writes, until ctx ends.
+// lock takes the lock on what is out in the way named. With LOCK_NB its error may be EWOULDBLOCK: another has it.
+func (s *Shelf) lock(how int) (unlock func(), err error) {
+	file, err := os.OpenFile(filepath.Join(s.dir, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err == nil {
+		if err = syscall.Flock(int(file.Fd()), how); err == nil {
+			return func() { file.Close() }, nil // gives the lock back too
+		}
+		file.Close()
+	}
+	return nil, fmt.Errorf("lock of what is out: %w", err)
+}
+
+// Follow adopts what the other process writes, until ctx ends. It reads and adopts under the lock: a change made between the two would
+// be undone by what was read before it. Where another has the lock, it looks again later.
 func (s *Shelf) Follow(ctx context.Context, adopt func([]string) error) error {
 	if s == nil {
 		return nil
@@ -150,8 +160,11 @@
 	var seen fs.FileInfo
 	for {
 		if now, err := os.Stat(filepath.Join(s.dir, outsFile)); err == nil && (seen == nil || !os.SameFile(seen, now) || now.ModTime() != seen.ModTime()) {
-			seen = now
-			s.Restore(adopt)
+			if unlock, err := s.lock(syscall.LOCK_SH | syscall.LOCK_NB); err == nil {
+				seen = now // of before the lock: what was written since is looked at again
+				s.Restore(adopt)
+				unlock()
+			}
 		}
 		select {
 		case <-ctx.Done():
