Module: a far origin's usual wait is not late, and size alone shuts no request out

Cause, by counting refusals with the limits in force: all came from pickSource with no source in its limit; parents stood at 2 to 3, the origin at 3, 'behind' at 1000. 20% of fills by way of the origin took longer than half the aim (median wait 80 ms, least 54) with no crowd anywhere: adapt cut the source. Ruled out: breakers (none open), the limit behind parents, caches (20 to 31), CPU. Change: without reports of the link, a fill in its aim and within three times the least wait is not late.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -72,12 +72,14 @@
 	var f flags
 	parser := kong.Must(&f, kong.Name("spantack"), kong.Description("A request router; it reads RELAY_NAME, RELAY_LISTEN and RELAY_CONFIG."))
 	_, err := parser.Parse(os.Args[1:])
+	signals := catch() // before the configuration is read: until then a signal would end the process
+	defer signals.release()
 	var c *config.Config
 	if err == nil {
 		c, err = config.Load(os.Getenv)
 	}
 	if err == nil {
-		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) }, f)
+		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) }, f, signals)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "spantack:", err)
@@ -85,6 +87,20 @@
 	}
 }
 
+// caught are the signals that the process heeds: they are kept until run comes to them.
+type caught struct {
+	end     context.Context // done at SIGTERM or SIGINT
+	hangUp  chan os.Signal  // one SIGHUP: more before it is heeded mean the same
+	release func()
+}
+
+func catch() *caught {
+	end, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	return &caught{end, hangUp, func() { signal.Stop(hangUp); stop() }}
+}
+
 // feature loads the features file against the settings in force; nil without a file.
 func feature(file string, c *config.Config) (*features.File, router.Frame, error) {
 	none := router.Frame{}
@@ -120,7 +136,7 @@
 type reload func() (*config.Config, error)
 
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
-func run(c *config.Config, again reload, f flags) error {
+func run(c *config.Config, again reload, f flags, signals *caught) error {
 	file := f.Features
 	on, frame, err := feature(file, c)
 	if err != nil {
@@ -130,12 +146,6 @@
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("router", c.Name).Logger()
 
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hangUp := make(chan os.Signal, 1) // at once: by itself the signal would end the process
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
-
 	// serving ends when the last request has its answer; accepting ends a while after the signal.
 	serving, served := context.WithCancel(context.Background())
 	defer served()
@@ -237,7 +247,7 @@
 			select {
 			case <-serving.Done():
 				return nil
-			case <-hangUp:
+			case <-signals.hangUp:
 				c = reconfigure(c, again, core, server, follower.Move, &files, log)
 				longest.Store(c.Longest)
 				on = refeature(file, on, c, core, now, log)
@@ -246,7 +256,7 @@
 	})
 	group.Go(func() error {
 		select {
-		case <-signals.Done():
+		case <-signals.end.Done():
 		case <-serving.Done():
 			return nil
 		}
--- a/cmd/spantack/main_test.go
+++ b/cmd/spantack/main_test.go
@@ -41,8 +41,10 @@
 	free.Close()
 	ended := make(chan error, 1)
 	files := make(chan string)
+	signals := catch()
+	defer signals.release()
 	go func() {
-		ended <- run(c, func() (*config.Config, error) { return config.Parse([]byte(<-files)) }, flags{})
+		ended <- run(c, func() (*config.Config, error) { return config.Parse([]byte(<-files)) }, flags{}, signals)
 	}()
 	told, err := board.Accept() // the board is asked once the router serves
 	if err != nil {
--- a/rules/limits.go
+++ b/rules/limits.go
@@ -24,17 +24,20 @@
 	limitTarget     = 0.5       // share of the aim less the sending time past which an answer cuts a limit
 	limitTargetMean = 0.8       // the same where sizes are not told: a large part is late by nature
 	denseReserve    = 0.5       // share of a limit kept for what earns most for its sending time
+	sizeRoom        = 2         // means of its class that a sending time counts there at most
 	shareKept       = 1_000_000 // us over which what an account keeps free of its share is forgotten
 	linkFull        = 1.5       // transfers on the own link for those that fit: fills must become fewer
 	linkStep        = 0.1       // step of that figure at a report
 	meanStep        = 0.02      // step of the mean sending times
+	farRoom         = 3         // times its least wait that a fill may wait for a far origin
 	baseRise        = 0.0005    // by which the least wait for the origin of late grows at each answer
 )
 
 // room reports that n is under its limit. A part of one is at random: hundreds of routers keep to their sum.
 func (r *Router) room(q *request, n *node) bool {
 	best := r.densest(n.role != roleOther) // but of asks alone, which are reads
-	earns := min(r.set.Classes[q.class].Gain/max(r.sending(q), 1)/max(best, 1e-12), 1)
+	size := max(min(r.sending(q), sizeRoom*r.sendMean[q.class]), 1)
+	earns := min(r.set.Classes[q.class].Gain/size/max(best, 1e-12), 1)
 	if q.over {
 		earns *= r.set.OverShareWorth
 	}
@@ -117,7 +120,9 @@
 			took = rest
 		case ev.Note == 3: // a far origin is not its doing; but on a full link fills must be fewer
 			s.base = min(cmp.Or(s.base, waited)*(1+baseRise), waited)
-			if r.hasX1 >= 0 && r.linkUse < linkFull {
+			if r.hasX1 < 0 { // nothing tells of the link: what is usual, in the time wanted, is not late
+				aim = max(aim, min(r.sending(q)+farRoom*s.base, r.aim(q)))
+			} else if r.linkUse < linkFull {
 				took -= s.base
 			}
 		}
@@ -169,10 +174,8 @@
 		r.peak[n.role] = max(r.peak[n.role], n.work.rate(r.now, rateSpan))
 	}
 	learn(a.node, a.work)
-	if !a.fills || a.source == a.node {
-		return
-	}
 	switch {
+	case !a.fills || a.source == a.node:
 	case ev.Note == 2 || ev.Note == 3:
 		learn(a.source, a.work)
 	case ev.Note == 1 || ev.Note == 4 || ev.Note == 5: // it never reached the source
--- a/rules/origin_test.go
+++ b/rules/origin_test.go
@@ -142,3 +142,55 @@
 		t.Errorf("limit %v of a parent through which all fills have come late for 300 answers", jam)
 	}
 }
+
+// Where nothing tells of the link, the wait for an origin that is far for the class's aim was taken for a crowd at the source: of
+// a class wanted in 180 ms a quarter was refused on a quiet day, with two or three fills out at servers that bear dozens
+// (variant harbour-metrics, 0.72 for 0.97 in the simulator). What is usual, and in the time wanted, is not late; what takes
+// several times as long is, and so is what comes past the aim.
+func TestUsualWaitOfAHurriedClassIsNotLate(t *testing.T) {
+	limit := func(usual, then int64) float64 {
+		set := settings()
+		set.Classes[1].Promise = 180 * ms
+		g := newRig(t, set, 2, 1)
+		for i := range 300 {
+			a := g.one(Event{Kind: Request, Call: fmt.Sprint("h", i), Class: "small", Object: fmt.Sprint(i), SizeKb: 10, ExpiresIn: 600 * ms})
+			if a.Kind != Get || a.How&HeldOnly != 0 {
+				continue
+			}
+			more := int(g.r.nodes["p0"].limit) // one not in use tells nothing
+			g.r.nodes["p0"].out += more
+			g.now += 110 * ms
+			ev := fill(a, usual, 0)
+			if ev.Metrics = nil; i >= 100 {
+				ev.UpstreamWait, ev.Rtt = then, then+20*ms
+			}
+			g.do(ev)
+			g.r.nodes["p0"].out -= more
+		}
+		return g.r.nodes["p0"].limit
+	}
+	far, jam, crowd := limit(100*ms, 100*ms), limit(100*ms, 400*ms), limit(30*ms, 130*ms)
+	if far < 5 || jam > 1 || crowd > 1 {
+		t.Errorf("limits: %v before a far origin, %v past the aim, %v at four times the usual wait", far, jam, crowd)
+	}
+}
+
+// The reserve for what earns most for its sending time counts a large object as twice its class's mean at most: the largest tenth
+// of a class was answered half as often as the class in overload (0.41 to 0.57 of its share on seeds 5 and 7), and half is owed.
+func TestNoneIsShutOutForItsSize(t *testing.T) {
+	g := newRig(t, settings(), 1, 1)
+	n := g.r.nodes["c0"]
+	n.limit = 100
+	fits := func(class int, sizeKb float64) (most int) { // how many may be out for such a one still to go
+		q := &request{class: class}
+		q.SizeKb = sizeKb
+		for n.out = 0; n.out < 100 && g.r.room(q, n); n.out++ {
+		}
+		return n.out
+	}
+	mean := g.r.sendMean[0] / 1000 // KB, at the pace of 1000 KB/s
+	small, twice, large := fits(0, mean/4), fits(0, 2*mean), fits(0, 50*mean)
+	if large < twice-1 || small <= twice { // one: luck of a part
+		t.Errorf("room for %d of a quarter of the mean, %d of twice, %d of fifty times", small, twice, large)
+	}
+}
