Real processes: signals before ready, in bursts and with hung servers, clients that leave

Tests on the program as a process (its own test binary), crossings forced: the configuration comes through a pipe that is written once the signal was sent; caches hold answers back; a client's leaving is waited for in the caches' ledger before its attempt breaks off. Found: SIGHUP while the configuration is read ended the process (run set the handlers after config.Load). Ruled out, tests kept: SIGTERM before ready and twice; SIGHUP in bursts and for a file half written, with SIGTERM; one answer each for a read and a keyed write at hung servers, gone before SIGKILL may come; cancel, close, reset and half-close while an attempt is out, also while the process ends: not sent on.

--- /dev/null
+++ b/cmd/spantack/process_test.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"spantack/internal/resp"
+)
+
+// asProcess in the environment makes the test's own binary the router.
+const asProcess = "SPANTACK_TEST_PROCESS"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProcess) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// twoCaches is a deployment with a class for reads and a keyed one, both of 2 s.
+const twoCaches = `{"seed":"01","limits":{"memory_mb":192,"sockets":256},"board":%q,"known":{"rev":1,"notices":[{"rev":1,
+	"pool":{"all":true,"targets":[{"uid":"s-00000001","endpoint":%q,"az":"east","model":"box","state":"Ready","capacity_hint":4},
+	{"uid":"s-00000003","endpoint":%q,"az":"east","model":"box","state":"Ready","capacity_hint":4},
+	{"uid":"s-00000002","endpoint":"127.0.0.1:1","az":"east","model":"origin","state":"Ready","capacity_hint":1}]}}]},
+	"settings":{"Classes":[{"Name":"page","Deadline":2000000,"Promise":2000000,"Gain":1,"Idempotency":"read_like","Group":"all"},
+	{"Name":"report","Deadline":2000000,"Promise":2000000,"Gain":1,"Idempotency":"idempotency_key","Group":"all","MemorySpan":2000000}],
+	"Extra":{"MasterKind":1,"ShieldKind":-1,"NotesGiven":"all"},"Kinds":["box","origin"],
+	"Permissions":{"MaxAttempts":8,"DialTimeout":500000,"MaxStreams":32},"Zone":"east","Zones":["east"]}}`
+
+// limit is when SIGKILL may come after SIGTERM, by the protocol.
+const limit = (2000 + killSlack) * time.Millisecond
+
+// process is a running router, and the two caches behind it with a ledger of what came to them.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	listen string
+	config string
+	text   string
+	log    *bytes.Buffer
+
+	mu     sync.Mutex
+	ledger []string   // "GET id" and "DROP id", as they came
+	came   *sync.Cond // something was added
+	hold   map[string]net.Conn
+}
+
+// launch starts a router; with pipe the configuration comes through one that the test writes, and the router has begun to read it.
+func launch(t *testing.T, pipe bool) (*process, *os.File) {
+	t.Helper()
+	board, one, two, free := listen(t), listen(t), listen(t), listen(t)
+	p := &process{t: t, listen: free.Addr().String(), config: filepath.Join(t.TempDir(), "config.json"), hold: map[string]net.Conn{},
+		log: &bytes.Buffer{}, text: fmt.Sprintf(twoCaches, board.Addr(), one.Addr(), two.Addr())}
+	p.came = sync.NewCond(&p.mu)
+	free.Close()
+	for _, l := range []net.Listener{one, two} {
+		go p.cache(l)
+	}
+	var into *os.File
+	var err error
+	if pipe {
+		err = syscall.Mkfifo(p.config, 0o600)
+	} else {
+		err = os.WriteFile(p.config, []byte(p.text), 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), asProcess+"=1", "GORACE=atexit_sleep_ms=0", "RELAY_NAME=n1", "RELAY_LISTEN="+p.listen, "RELAY_CONFIG="+p.config)
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	if pipe {
+		if into, err = os.OpenFile(p.config, os.O_WRONLY, 0); err != nil { // opens once the router reads
+			t.Fatal(err)
+		}
+	}
+	return p, into
+}
+
+// cache keeps a ledger and answers nothing by itself.
+func (p *process) cache(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			in := bufio.NewReader(nc)
+			for {
+				parts, err := resp.ReadArray(in)
+				p.mu.Lock()
+				if err == nil {
+					p.ledger = append(p.ledger, string(parts[0])+" "+string(parts[1]))
+					p.hold[string(parts[1])] = nc
+				}
+				p.came.Broadcast()
+				p.mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// wait returns once the ledger holds a line.
+func (p *process) wait(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !slices.Contains(p.ledger, line) {
+		p.came.Wait()
+	}
+}
+
+func (p *process) count(line string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.ledger {
+		if l == line {
+			n++
+		}
+	}
+	return n
+}
+
+// client connects, once the router is ready to take it.
+func (p *process) client() *net.TCPConn {
+	p.t.Helper()
+	for range 1000 {
+		if nc, err := net.Dial("tcp", p.listen); err == nil {
+			p.t.Cleanup(func() { nc.Close() })
+			return nc.(*net.TCPConn)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Fatal("the router takes no client")
+	return nil
+}
+
+func ask(nc net.Conn, message int, ref string) {
+	fmt.Fprintf(nc, "\x94\x00%c\xa4page\x92\x83\xa3ref\xb0%s\xa5allow\xa42000\xa6lookup\xb0000000000000007f\xc4\x00", message, ref)
+}
+
+func askKeyed(nc net.Conn, message int, ref string) {
+	fmt.Fprintf(nc, "\x94\x00%c\xa6report\x92\x84\xa3ref\xb0%s\xa5allow\xa42000\xa6lookup\xb0000000000000007f\xa6replay\xa4k001\xc4\x00", message, ref)
+}
+
+func (p *process) healthy(nc net.Conn) {
+	p.t.Helper()
+	io.WriteString(nc, "\x94\x00\x01\xa6health\x91\x80")
+	got := make([]byte, 7)
+	if _, err := io.ReadFull(nc, got); err != nil || string(got) != "\x94\x01\x01\xc0\x92\xc3\x80" {
+		p.t.Fatalf("health: %q, %v; log: %s", got, err, p.log)
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ended waits for the process and returns how long it took; it must end by itself.
+func (p *process) ended(since time.Time) time.Duration {
+	p.t.Helper()
+	if err := p.cmd.Wait(); err != nil {
+		p.t.Errorf("ended with %v; log: %s", err, p.log)
+	}
+	return time.Since(since)
+}
+
+// A signal comes while the configuration is read: SIGHUP must not end the process, SIGTERM ends it in order.
+func TestSignalBeforeReady(t *testing.T) {
+	t.Parallel()
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		p, into := launch(t, true)
+		p.signal(s)
+		other := p.config + ".new" // for the reload: the pipe is read once
+		if err := os.WriteFile(other, []byte(p.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(other, p.config); err != nil {
+			t.Fatal(err)
+		}
+		if s == syscall.SIGHUP { // and more of them than are kept
+			for range 20 {
+				p.signal(s)
+			}
+		}
+		io.WriteString(into, p.text)
+		into.Close()
+		if s == syscall.SIGHUP {
+			nc := p.client()
+			p.healthy(nc)
+			nc.Close()
+			p.signal(syscall.SIGTERM)
+		}
+		if took := p.ended(time.Now()); took > limit {
+			t.Errorf("%v: ended after %v", s, took)
+		}
+	}
+}
+
+// SIGTERM, twice and with SIGHUP for a file half written, while servers hang with a read and a keyed write out: each gets its one
+// answer, and the process is gone before SIGKILL may come.
+func TestEndWithHungServers(t *testing.T) {
+	t.Parallel()
+	p, _ := launch(t, false)
+	nc := p.client()
+	p.healthy(nc)
+	ask(nc, 2, "0000000000000002")
+	p.wait("GET 0000000000000002")
+	askKeyed(nc, 3, "0000000000000003")
+	if err := os.WriteFile(p.config, []byte(p.text[:len(p.text)/2]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	began := time.Now()
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGHUP)
+	p.signal(syscall.SIGTERM)
+	answers, err := io.ReadAll(nc)
+	if err != nil {
+		t.Error(err)
+	}
+	for _, id := range []string{"\x94\x01\x02", "\x94\x01\x03"} {
+		if n := bytes.Count(answers, []byte(id)); n != 1 {
+			t.Errorf("%d answers under %q in %q", n, id, answers)
+		}
+	}
+	nc.Close()
+	if took := p.ended(began); took > limit {
+		t.Errorf("ended after %v", took)
+	}
+	if !strings.Contains(p.log.String(), "new configuration can't be used") {
+		t.Errorf("a file half written was taken in; log: %s", p.log)
+	}
+}
+
+// A client leaves, in each way there is, while its request is at a server that then breaks off: the request is not sent on. Judged
+// from the caches' ledger; the request of another client that comes through afterwards tells that nothing is on its way before it.
+// Half of them leave while the process ends.
+func TestLeftIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	ways := map[string]func(*net.TCPConn){
+		"cancel":     func(nc *net.TCPConn) { io.WriteString(nc, "\x93\x02\xa6cancel\x91\x02") },
+		"close":      func(nc *net.TCPConn) { nc.Close() },
+		"reset":      func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
+		"half-close": func(nc *net.TCPConn) { nc.CloseWrite() },
+	}
+	for _, ending := range []bool{false, true} {
+		p, _ := launch(t, false)
+		stays := p.client()
+		p.healthy(stays)
+		ask(stays, 2, "00000000000000ff") // keeps the process, and its connection, until it is answered
+		p.wait("GET 00000000000000ff")
+		clients := map[string]*net.TCPConn{}
+		for name := range ways {
+			clients[name] = p.client()
+			p.healthy(clients[name])
+		}
+		if ending {
+			p.signal(syscall.SIGTERM)
+		}
+		n := 0
+		for name, leave := range ways {
+			n++
+			ref := fmt.Sprintf("00000000000000a%d", n)
+			ask(clients[name], 2, ref)
+			p.wait("GET " + ref)
+			leave(clients[name])
+			p.wait("DROP " + ref)
+			p.mu.Lock()
+			p.hold[ref].Close() // and the attempt breaks off
+			p.mu.Unlock()
+			ask(stays, 2+n, fmt.Sprintf("00000000000000b%d", n))
+			p.wait(fmt.Sprintf("GET 00000000000000b%d", n))
+			if times := p.count("GET " + ref); times != 1 {
+				t.Errorf("%s, ending %v: sent %d times", name, ending, times)
+			}
+		}
+	}
+}
