Clients that do not read no longer take large answers away from all others

Cause: answers waiting to be written share one bound in bytes (MostQueued, a quarter of the memory). One client that does not read could fill it with 128 answers; for up to 10 s large answers of all others then failed ('too many answers wait'), the largest first, and requests were turned away. Now past half of it a connection that has answers waiting gets no more than an eighth. The test fails without the condition (a large answer of another client: Error).

--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -167,3 +167,29 @@
 		}
 	}
 }
+
+// A client that does not read must not fill what all may hold: the large answers of others failed then, small ones did not.
+func TestUnreadAnswersLeaveRoom(t *testing.T) {
+	const large = 200 << 10
+	c := start(t, func(s *Server) { s.MostQueued, s.MostConns = 40*large, 8 })
+	c.request(1, "page", "0000000000000001")
+	asked := <-c.asked
+	// No one writes for a connection made here: what is answered on it waits, as for a client that does not read.
+	deaf := &conn{server: c.Server, queue: make(chan answer, queueRoom)}
+	for id := range uint64(queueRoom) {
+		if err := deaf.answer(id, router.Answer{Verdict: router.Served, Body: make([]byte, large)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asked.answer <- router.Answer{Verdict: router.Served, Body: make([]byte, large)}
+	d := decoder{in: c.in, left: 2 * large, most: 2 * large}
+	v, err := d.value(0)
+	if list, _ := v.([]any); err != nil || len(list) != 4 || list[2] != nil {
+		t.Errorf("a large answer of another client: %.80v, %v", v, err)
+	}
+	c.Server.mu.Lock()
+	defer c.Server.mu.Unlock()
+	if deaf.booked < c.MostQueued/4 {
+		t.Errorf("%d bytes are all that wait for one client while nobody else needs them", deaf.booked)
+	}
+}
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -31,6 +31,7 @@
 	refuseAfter = 1_500       // of an Evacuate: 4 s after its call no connection may hold a request of the last 2 s
 	shortLook   = 1           // as lastLook, from then on
 	lingerLimit = 250         // for what crosses our close
+	connPart    = 8           // of MostQueued, what the answers of one connection may hold when others need the rest
 	requestCost = 8 << 10     // bytes that an open request takes besides its body
 	acceptPause = 20          // after an accept that failed
 	freshConn   = 100         // a new connection is given so long for its first message to be on its way
@@ -238,11 +239,25 @@
 	return true
 }
 
+// book reserves n bytes for an answer on a connection, or with a negative n gives them back. Past half of all, a connection that
+// has answers waiting gets no more than a part: clients that do not read must not leave others without large answers.
+func (s *Server) book(c *conn, n int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, own := s.queued+n, c.booked+n
+	if n > 0 && (all > s.MostQueued || c.booked > 0 && own > s.MostQueued/connPart && all > s.MostQueued/2) {
+		return false
+	}
+	s.queued, c.booked = all, own
+	return true
+}
+
 // conn is one client connection.
 type conn struct {
 	server *Server
 	net    net.Conn
 	queue  chan answer
+	booked int64 // bytes of answers waiting to be written; guarded by Server.mu
 
 	mu      sync.Mutex
 	open    map[uint64]*taken // by message id
@@ -527,7 +542,7 @@
 	switch a.Verdict {
 	case router.Served:
 		size := int64(len(a.Body))
-		if !c.server.reserve(size) { // guards memory against clients that do not read
+		if !c.server.book(c, size) { // guards memory against clients that do not read
 			return c.send(answer{parts: net.Buffers{appendError(nil, id, "Error", "reason", "too many answers wait")}})
 		}
 		head := appendBinHead(append(appendResult(nil, id), 0x92), len(a.Body))
@@ -552,7 +567,7 @@
 		return nil
 	default:
 		c.sent(-1)
-		c.server.reserve(-a.size)
+		c.server.book(c, -a.size)
 		return fmt.Errorf("%d answers wait for a client that does not read", queueRoom)
 	}
 }
@@ -576,7 +591,7 @@
 				c.net.Close()
 			}
 		}
-		c.server.reserve(-a.size)
+		c.server.book(c, -a.size)
 		c.sent(-1)
 	}
 }
