--- a/rules/limits.go
+++ b/rules/limits.go
@@ -24,7 +24,6 @@
 	limitTarget     = 0.5       // share of the aim less the sending time past which an answer cuts a limit
 	limitTargetMean = 0.8       // the same where sizes are not told: a large part is late by nature
 	denseReserve    = 0.5       // share of a limit kept for what earns most for its sending time
-	sizeRoom        = 2         // means of its class that a sending time counts there at most
 	shareKept       = 1_000_000 // us over which what an account keeps free of its share is forgotten
 	linkFull        = 1.5       // transfers on the own link for those that fit: fills must become fewer
 	linkStep        = 0.1       // step of that figure at a report
@@ -36,8 +35,7 @@
 // room reports that n is under its limit. A part of one is at random: hundreds of routers keep to their sum.
 func (r *Router) room(q *request, n *node) bool {
 	best := r.densest(n.role != roleOther) // but of asks alone, which are reads
-	size := max(min(r.sending(q), sizeRoom*r.sendMean[q.class]), 1)
-	earns := min(r.set.Classes[q.class].Gain/size/max(best, 1e-12), 1)
+	earns := min(r.set.Classes[q.class].Gain/max(r.sending(q), 1)/max(best, 1e-12), 1)
 	if q.over {
 		earns *= r.set.OverShareWorth
 	}
