Figures test: wait for the list before a cache is taken out, a call could come first

Cause: lab/local starts routers with an empty 'known', so the list comes from the board after the router says that it is ready; the test called at once. It waits until the router tells that it knows the three caches; nothing it asserts has changed.

--- a/lab/local/operate_test.go
+++ b/lab/local/operate_test.go
@@ -124,6 +124,7 @@
 	if status, _, err := r.Call(t.Context(), http.MethodPut, "/api/exclude/s-00000000"); err != nil || status != http.StatusNotFound {
 		t.Errorf("an unknown id: %d, %v", status, err)
 	}
+	until(t, "list", func() bool { return figures(t, r)["app.discovered"] == 3 }) // it comes from the board alone, after the router is ready
 	call(t, r, http.MethodPut, "/api/exclude/"+d.Caches[0].Name())
 	rep, err := d.Run(t.Context(), Load{Seed: 12, Requests: requests, Every: 500 * time.Microsecond, Conns: 2, Families: 2, Objects: 100})
 	if err != nil {
