--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -203,17 +203,22 @@
 	}
 }
 
+// dialled returns an attempt whose connection has come up and waits for Pools.mu. It leaves that locked: the caller unlocks it.
+func dialled(p *Pools, c *cache) (k *call, l *pool, one *link) {
+	k = &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}, Server: "s-1"}, chosen: 1000, done: make(chan router.End, 1)}
+	p.mu.Lock()
+	l = p.servers["s-1"]
+	l.opening++
+	p.conns++
+	go l.open(k)
+	return k, l, c.accept()
+}
+
 // The connection comes up when its server has left the list: the attempt is not sent, since another machine may be there.
 func TestLeftTheListWhileDialling(t *testing.T) {
 	c := listen(t)
 	p, _ := newPools(t, c.addr())
-	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}, Server: "s-1"}, chosen: 1000, done: make(chan router.End, 1)}
-	p.mu.Lock() // what comes up waits for it
-	l := p.servers["s-1"]
-	l.opening++
-	p.conns++
-	go l.open(k)
-	one := c.accept()
+	k, l, one := dialled(p, c)
 	l.retire()
 	p.mu.Unlock()
 	wantCode(t, k, rules.Refused)
@@ -226,13 +231,7 @@
 func TestLeftWhileDialling(t *testing.T) {
 	c := listen(t)
 	p := shared(t, c.addr(), 0)
-	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "left"}, Server: "s-1"}, chosen: 1000, done: make(chan router.End, 1)}
-	p.mu.Lock()
-	l := p.servers["s-1"]
-	l.opening++
-	p.conns++
-	go l.open(k)
-	one := c.accept()
+	k, l, one := dialled(p, c)
 	k.over = true // Drop, which finds no connection yet
 	p.mu.Unlock()
 	for up := false; !up; {
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -258,8 +258,7 @@
 	p, fake := newPools(t, "127.0.0.1:1")
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 4), calls: map[string]*call{},
-		dropped: map[string]float64{}, ended: map[string]float64{}, gone: make(chan struct{})}
+	c := bare(p, near)
 	calls := map[string]*call{}
 	p.mu.Lock()
 	for _, id := range []string{"late", "over", "good"} {
@@ -294,8 +293,7 @@
 	p, _ := newPools(t, "127.0.0.1:1")
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &conn{pool: p.servers["s-1"], net: near, queue: make(chan command, 4), calls: map[string]*call{},
-		dropped: map[string]float64{}, ended: map[string]float64{}, gone: make(chan struct{})}
+	c := bare(p, near)
 	k := &call{pools: p, try: router.Attempt{Request: &router.Request{ID: "a"}}, chosen: 1000, done: make(chan router.End, 1)}
 	p.mu.Lock()
 	c.start(k) // queued, and no writer yet
