Server's connections are set up under their lock; its tests end before the next begins

Serve made its map of connections without the lock (server.go, first line of Serve), while the test looked at it; in service the second address is open before Serve begins, so that an Evacuate could cross it too. The test was also weaker than it read: it could find no connection because none had been accepted yet. It now waits until the server has taken the connection. And a test's server ran on into the next test (the cleanup did not wait for it).

--- a/internal/msgpackrpc/crossings_test.go
+++ b/internal/msgpackrpc/crossings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -147,13 +148,17 @@
 
 // A client writes its last byte and is gone: whether its request was begun or not, it does not wait on.
 func TestGoneAtOnce(t *testing.T) {
+	defer func() { testHookAwait = func() {} }()
 	for _, reset := range []bool{false, true} {
+		taken := make(chan struct{})
+		testHookAwait = sync.OnceFunc(func() { close(taken) })
 		c := start(t)
 		c.request(1, "page", "0000000000000001")
 		if reset {
 			c.Conn.(*net.TCPConn).SetLinger(0)
 		}
 		c.Close()
+		<-taken // until then no connection is there to end
 		for gone := false; !gone; {
 			select {
 			case a := <-c.asked:
@@ -165,6 +170,21 @@
 				time.Sleep(time.Millisecond)
 			}
 		}
+		c.stop()
+		if err := <-c.ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Staff empty a server that has not begun to serve: its second address is open by then. What it serves from then on closes likewise.
+func TestEmptiedBeforeItServes(t *testing.T) {
+	begin := make(chan struct{})
+	c := start(t, func(s *Server) { go func() { <-begin; s.Evacuate() }() })
+	close(begin)
+	c.SetReadDeadline(time.Now().Add(firstLimit / 2 * time.Millisecond))
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("the connection stays: %v", err)
 	}
 }
 
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -70,7 +70,9 @@
 // all are closed. Requests that still come refuseAfter milliseconds later, on connections that are never without one, are refused: they
 // would be cut short at the end.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.mu.Lock() // staff may empty the server before it serves
 	s.conns = map[*conn]bool{}
+	s.mu.Unlock()
 	defer context.AfterFunc(ctx, func() { l.Close() })()
 	var wait sync.WaitGroup
 	for {
--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -60,12 +60,20 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
-	go func() { c.ended <- s.Serve(ctx, l) }()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		c.ended <- s.Serve(ctx, l)
+	}()
 	if c.Conn, err = net.Dial("tcp", c.addr); err != nil {
 		t.Fatal(err)
 	}
 	c.in = bufio.NewReader(c.Conn)
-	t.Cleanup(func() { stop(); c.Close() })
+	t.Cleanup(func() { // nothing of one test runs on into the next
+		stop()
+		c.Close()
+		<-over
+	})
 	return c
 }
 
