Repeats with effects: none leaves past its window, none is ended by an earlier answer

Read for what may come between two lines; each shown by a test on real sockets that fails without its line.

- A repeat of a keyed request is allowed within nine tenths of the time in which its class drops repeats, reckoned at the choice.
The module now says until when a Get may go out (Within), and the pool holds that like the others.
TestRepeatPastItsWindow; TestRandomDays holds the module's word.
- A server that says BUSY or MISS twice: the next attempt of that request may be out on the same connection, where the second answer tells that it never ran.
For reads it is given up first and nothing is lost; for a class without repeats a third attempt followed one that may have run.
Such an attempt now takes another connection (Effects).
TestSecondAnswerOfAnEffect.
- A late good answer of an attempt that was given up is its request's, but its copy may be older than the next attempt may take, as after a purge.
Its t0 is read now, and such an answer is passed over: the attempt's own is to come.
TestLateAnswerOfAnOlderCopy.
- TestRandomDays also plays settings of other customers: one class or twelve, none or all keyed, deadlines from a thirtieth to twenty times as long, one attempt, no area caches, one router or 300.

--- a/internal/resp/codec.go
+++ b/internal/resp/codec.go
@@ -183,6 +183,10 @@
 			}
 		case "l":
 			end.Load = value // the router reads it: what it must hold stands in the settings
+		case "t0":
+			if made, bad := strconv.ParseUint(value, 10, 53); bad == nil { // else it is not told: no answer rests on it alone
+				end.Made = float64(made)
+			}
 		case "slow":
 			end.Waited, err = strconv.ParseFloat(value, 64)
 			if err != nil || !(end.Waited >= 0 && end.Waited < 1e9) {
--- a/internal/resp/codec_test.go
+++ b/internal/resp/codec_test.go
@@ -79,7 +79,7 @@
 		want  router.End
 	}{
 		{[]string{"a", "OK", "sum=1f,t0=1764576000123,n=TCP_MISS_ROOT,slow=41.5", "bytes"},
-			router.End{Code: rules.Done, Note: 3, Waited: 41.5, Body: []byte("bytes")}},
+			router.End{Code: rules.Done, Note: 3, Waited: 41.5, Body: []byte("bytes"), Made: 1764576000123}},
 		{[]string{"a", "SAME", "n=TCP_HIT", ""}, router.End{Code: rules.Done, Note: 1, Same: true}},
 		{[]string{"a", "MISS", "n=PEER_DEAD,slow=800", ""}, router.End{Code: rules.Miss, Note: 7, Waited: 800}},
 		{[]string{"a", "BUSY", "n=PEER_DENY", "why"}, router.End{Code: rules.Busy, Note: 6}},
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -243,6 +243,76 @@
 	one.expect("GET next")
 }
 
+// A repeat of a keyed request waits for a connection that comes up when its class no longer drops repeats: it is not sent, and its end
+// proves that. The time that drains and purges leave is longer.
+func TestRepeatPastItsWindow(t *testing.T) {
+	c := listen(t)
+	p, fake := newPools(t, c.addr())
+	k, l, one := dialled(p, c)
+	k.try.Within = p.opt.MostWait / 2
+	fake.Advance(p.opt.MostWait * 2 / 3)
+	p.mu.Unlock()
+	for up := false; !up; {
+		p.mu.Lock()
+		up = len(l.conns) == 1
+		p.mu.Unlock()
+	}
+	send(p, "next")
+	one.expect("GET next")
+	wantCode(t, k, rules.Refused)
+}
+
+// An attempt with effects never ran, so its request goes to the same server again, and then the first answer comes a second time. It must not
+// tell that the second attempt never ran, or a third would have the effect twice.
+func TestSecondAnswerOfAnEffect(t *testing.T) {
+	c := listen(t)
+	p, _ := newPools(t, c.addr())
+	again := func() router.Call {
+		return p.Send(router.Attempt{Request: &router.Request{ID: "a"}, Server: "s-1", Effects: true})
+	}
+	k := again()
+	one := c.accept()
+	one.expect("GET a")
+	one.say("a", "BUSY", "-", "")
+	wantCode(t, k, rules.Busy)
+	k = again()
+	c.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // on the same connection none comes
+	two := c.accept()
+	two.expect("GET a")
+	one.say("a", "BUSY", "-", "")
+	crossed := send(p, "b") // once it is answered, the second BUSY has been read
+	one.expect("GET b")
+	one.say("b", "MISS", "-", "")
+	wantCode(t, crossed, rules.Miss)
+	two.say("a", "OK", "-", "done once")
+	wantCode(t, k, rules.Done)
+}
+
+// The late answer of an attempt that was given up is a good one, of a copy older than the next attempt may take: since its choice a
+// purge was told. It is not that attempt's answer, which comes after it.
+func TestLateAnswerOfAnOlderCopy(t *testing.T) {
+	c := listen(t)
+	p, fake := newPools(t, c.addr())
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	one.say("x", "VOID", "-", "") // the server lives: its connection is kept
+	for heard := false; !heard; {
+		p.mu.Lock()
+		heard = p.servers["s-1"].conns[0].heard > 0
+		p.mu.Unlock()
+	}
+	k.Drop(true)
+	fake.Advance(500)
+	k = p.Send(router.Attempt{Request: &router.Request{ID: "a"}, Server: "s-1", MaxAge: 400})
+	one.expect("DROP a", "GET a")
+	one.say("a", "OK", "t0=1000", "of before the purge")
+	one.say("a", "OK", "t0=1200", "of after it")
+	if e := wantCode(t, k, rules.Done); string(e.Body) != "of after it" {
+		t.Errorf("answered with the copy %q", e.Body)
+	}
+}
+
 // The time of an idle connection is over just as an attempt comes and ends on it: it is not closed.
 func TestIdleTimeCrossesUse(t *testing.T) {
 	c := listen(t)
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -162,7 +163,7 @@
 		k.end(router.End{Code: rules.Skipped})
 		return k
 	}
-	c, open := l.pick(try.ID)
+	c, open := l.pick(&k.try)
 	switch {
 	case c != nil:
 		c.start(k)
@@ -177,14 +178,17 @@
 }
 
 // pick chooses the connection for an attempt, or says to open one. An idle connection comes first, since a large
-// body holds up all answers behind it; connections are shared only when enough are open.
-func (l *pool) pick(id string) (best *conn, open bool) {
+// body holds up all answers behind it; connections are shared only when enough are open. One with effects keeps off connections on which
+// another attempt of its request ended: that one's answer may come a second time, and would tell that this one never ran.
+func (l *pool) pick(try *router.Attempt) (best *conn, open bool) {
+	id := try.ID
 	for _, c := range l.conns {
 		switch {
 		case c.dropped[id] != 0 && len(c.calls) < l.owner.opt.MaxStreams:
 			return c, false // its DROP must get there first, or two attempts would be out at once
 		case c.dropped[id] != 0:
 			return nil, false
+		case try.Effects && c.ended[id] != 0:
 		case len(c.calls) >= l.owner.opt.MaxStreams || len(c.queue) >= queueRoom/2:
 		case best == nil || len(c.calls) < len(best.calls) || len(c.calls) == len(best.calls) && c.used > best.used:
 			best = c
@@ -392,13 +396,25 @@
 	ids[id] = now
 }
 
-// due tells whether an attempt may still be written. It guards the rules on drains and purges told since the choice of
-// its server: an attempt that waited too long for its connection is not sent, which proves that nothing ran.
+// left is how long the attempt may still take to go out, in milliseconds. It guards the rules on drains and purges told since
+// the choice of its server, and that on effects: a repeat must not leave once its class no longer drops repeats.
+func (k *call) left() float64 {
+	most := math.Inf(1)
+	for _, limit := range []float64{k.pools.opt.MostWait, k.try.Within} {
+		if limit > 0 {
+			most = min(most, limit)
+		}
+	}
+	return most - (k.pools.clock.Now() - k.chosen)
+}
+
+// due tells whether an attempt may still be written: one that waited too long for its connection is not sent, which proves
+// that nothing ran.
 func (c *conn) due(k *call) bool {
 	p := c.pool.owner
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !k.over && p.opt.MostWait > 0 && p.clock.Now()-k.chosen > p.opt.MostWait {
+	if !k.over && k.left() < 0 {
 		delete(c.calls, k.try.ID)
 		k.end(router.End{Code: rules.Refused})
 		c.rest()
@@ -434,14 +450,12 @@
 	}
 }
 
-// patience is how long a write may take, in milliseconds. An attempt of which no byte went out must not begin to go out
-// once drains and purges that were told since its choice bind.
+// patience is how long a write may take, in milliseconds: an attempt of which no byte went out must not begin to go out too late.
 func (c *conn) patience(k *call) float64 {
-	p := c.pool.owner
-	if k == nil || p.opt.MostWait == 0 {
+	if k == nil {
 		return writeLimit
 	}
-	return min(max(p.opt.MostWait-(p.clock.Now()-k.chosen), leastWrite), writeLimit)
+	return min(max(k.left(), leastWrite), writeLimit)
 }
 
 // wrote books a command that is on the socket, or with an error one that is not whole there: what did not come whole to a
@@ -506,7 +520,9 @@
 				c.fail(fmt.Errorf("%w: SAME for a client without a copy", errMalformed))
 				return
 			}
-			c.answered(k, end)
+			if made := end.Made; !k.doubt || made == 0 || k.try.MaxAge == 0 || p.clock.Now()-made <= k.try.MaxAge {
+				c.answered(k, end)
+			} // else another attempt's, which took an older copy: this one's is to come
 		}
 		c.heard = p.clock.Now()
 		c.used = c.heard
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,7 +56,7 @@
 	RetryAfter float64
 }
 
-// Attempt is one try of a request at one server.
+// Attempt is one try of a request at one server. Times are milliseconds.
 type Attempt struct {
 	*Request
 	Server   string // id of the server
@@ -65,6 +65,8 @@
 	Keep     int
 	MaxAge   float64 // 0: the class's fresh time
 	How      int     // bits of rules.Action.How
+	Within   float64 // how long after its choice it may go out; 0: as long as its server may be sent to
+	Effects  bool    // to run it twice does harm: it must not be mistaken for another attempt of its request
 }
 
 // End is how an attempt ended.
@@ -74,7 +76,8 @@
 	Waited float64 // for the source
 	Body   []byte
 	Same   bool
-	Load   string // the server's load report as it came, "NAME:VALUE;NAME:VALUE"; empty: none
+	Load   string  // the server's load report as it came, "NAME:VALUE;NAME:VALUE"; empty: none
+	Made   float64 // Unix milliseconds at which the origin gave the copy out; 0: not told
 }
 
 // Call is an attempt that is out.
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -137,7 +137,7 @@
 			word = nil
 			switch a.Kind {
 			case rules.Get:
-				try := Attempt{Request: &q, Server: a.Node, Patience: clock.Millis(a.TimeOut)}
+				try := Attempt{Request: &q, Server: a.Node, Patience: clock.Millis(a.TimeOut), Within: clock.Millis(a.Within), Effects: a.Effects}
 				if a.Source != "" {
 					try.Keep, try.MaxAge, try.How = a.Keep, clock.Millis(a.MaxAge), a.How
 				}
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -24,13 +24,16 @@
 // mayRun reports that an attempt with this outcome may have had its effect.
 func mayRun(c Code) bool { return c != Busy && c != Refused && c != Skipped && c != Miss }
 
-// mayResend keeps the rule on effects: what may have run is sent again only as its class allows.
-func (r *Router) mayResend(q *request) bool {
+// window is for how long q may be sent: what may have run goes again only as its class allows.
+func (r *Router) window(q *request) int64 {
 	c := &r.set.Classes[q.class]
 	if q.ranNode == nil || c.Idempotency == "read_like" {
-		return true
+		return q.deadline - r.now
+	}
+	if c.Idempotency != "idempotency_key" {
+		return 0
 	}
-	return c.Idempotency == "idempotency_key" && float64(r.now-q.ranAt) < keyedMargin*float64(c.MemorySpan)
+	return min(int64(keyedMargin*float64(c.MemorySpan))-(r.now-q.ranAt), q.deadline-r.now)
 }
 
 // sameGroup reports that n drops repeats of what q may have run before.
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -14,7 +14,7 @@
 
 // dispatch sends the next attempt of q or gives its final answer at once.
 func (r *Router) dispatch(q *request) {
-	if q.deadline <= r.now || q.attempts >= q.most || !r.mayResend(q) {
+	if q.attempts >= q.most || r.window(q) <= 0 {
 		r.end(q)
 		return
 	}
@@ -22,8 +22,7 @@
 		r.passOn(q)
 		return
 	}
-	a := attempt{node: q.cache}
-	full := false
+	a, full, how := attempt{node: q.cache}, false, 0
 	if a.node == nil || !r.usableFor(q, a.node) {
 		q.held = false
 		a.node, full = r.pickCache(q, q.Set)
@@ -35,7 +34,6 @@
 		r.without(q, full)
 		return
 	}
-	how := 0
 	if !q.held {
 		if a.source, how = r.pickSource(q); q.looked > 0 && (a.source == nil || how&HeldOnly != 0) {
 			r.end(q)
@@ -161,10 +159,11 @@
 // send puts an attempt on the wire and books it.
 func (r *Router) send(q *request, a attempt, act Action) {
 	act.Kind, act.Call, act.Node = Get, q.Call, a.node.name
+	act.Effects = r.set.Classes[q.class].Idempotency != "read_like"
 	if a.source != nil {
 		act.Source = a.source.name
 	}
-	act.TimeOut = max(q.deadline-r.now, 1)
+	act.TimeOut, act.Within = max(q.deadline-r.now, 1), r.window(q)
 	a.at, a.work, a.nodeHad = r.now, r.sendMean[q.class], a.node.answered
 	for i, n := range []*node{a.node, a.source, r.origin} {
 		if n == nil || i > 0 && !(a.fills && (i == 1 || act.How&HeldOnly == 0)) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -412,6 +412,26 @@
 	}
 }
 
+// A repeat of a keyed request may wait for a connection: it says until when it may go out.
+func TestRepeatSaysItsWindow(t *testing.T) {
+	for class, effects := range map[string]bool{"keyed": true, "zoned": true, "unsafe": true, "big": false} {
+		g := newRig(t, settings(), 2, 1)
+		a := g.ask(class, "x")
+		left := 3 * sec // as the rig's clients wait
+		if a.Effects != effects || a.Within < left-ms || a.Within > left {
+			t.Errorf("%s: effects %v, goes out within %d", class, a.Effects, a.Within)
+		}
+		g.now += sec
+		want := min(2*sec, left) - sec
+		if class == "big" {
+			want = left - sec
+		}
+		if b := g.one(result(a, 0, Reset, 0)); b.Kind == Get && (b.Within > want || b.Within < want-400*ms) {
+			t.Errorf("%s: the repeat goes out within %d of %d", class, b.Within, want)
+		}
+	}
+}
+
 func TestColdServersGetTheirBudget(t *testing.T) {
 	set := settings()
 	set.WeightSource = "nominal"
@@ -484,6 +504,39 @@
 	object, node    string
 }
 
+// customer makes the settings those of another deployment: one class or twelve, none or all of them keyed, deadlines down to a thirtieth
+// and up to twenty times as long, few attempts, no area caches, no worth of old copies. It returns how much longer deadlines are.
+func customer(set *Settings, rng *rand.Rand) float64 {
+	stretch := []float64{1, 0.035, 0.3, 20}[rng.IntN(4)]
+	long := func(us int64) int64 { return int64(stretch * float64(us)) }
+	all, x := set.Classes, set.Extra
+	set.Classes, set.Extra.FreshFor, set.Extra.GraceFor, set.Extra.PassOn = nil, nil, nil, nil
+	only := rng.IntN(2 * len(all)) // one class alone, of any kind, or all kinds
+	effect := []string{"", "", "read_like", "idempotency_key"}[rng.IntN(4)]
+	for i := range []int{1, len(all), 12}[rng.IntN(3)] {
+		k := (only + i) % len(all)
+		c := all[k]
+		c.Name = fmt.Sprint(c.Name, i)
+		c.Deadline, c.Promise, c.MemorySpan = long(c.Deadline), long(c.Promise), long(c.MemorySpan)
+		if effect != "" {
+			c.Idempotency, c.MemorySpan = effect, max(c.MemorySpan, long(sec/2))
+		}
+		set.Classes = append(set.Classes, c)
+		set.Extra.FreshFor = append(set.Extra.FreshFor, x.FreshFor[k])
+		set.Extra.GraceFor = append(set.Extra.GraceFor, x.GraceFor[k])
+		set.Extra.PassOn = append(set.Extra.PassOn, x.PassOn[k])
+	}
+	if rng.IntN(3) == 0 {
+		set.Extra.StaleEarns = make([]float64, len(set.Classes))
+	}
+	if rng.IntN(4) == 0 {
+		set.Extra.ShieldKind = -1
+	}
+	set.Permissions.MaxAttempts = []int{1, 2, 6}[rng.IntN(3)]
+	set.Siblings = []int{1, 3, 300}[rng.IntN(3)]
+	return stretch
+}
+
 func randomDay(t *testing.T, seed uint64) (all []Action) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	set := settings()
@@ -491,6 +544,8 @@
 	set.Extra.Straight = rng.IntN(2) == 0
 	set.Permissions.Cancelling = rng.IntN(2) == 0
 	set.WeightSource = []string{"silent", "nominal", "rough", "live"}[rng.IntN(4)]
+	other := rand.New(rand.NewPCG(seed, 2))
+	stretch := customer(&set, other)
 	r, err := New(set, int64(seed))
 	if err != nil {
 		t.Fatal(err)
@@ -509,7 +564,7 @@
 		if step < 1500 {
 			if rng.IntN(3) == 0 {
 				c := set.Classes[rng.IntN(len(set.Classes))]
-				call, left := fmt.Sprint("q", step), 200*ms+rng.Int64N(3*sec)
+				call, left := fmt.Sprint("q", step), int64(stretch*float64(200*ms+rng.Int64N(3*sec)))
 				object := fmt.Sprint("x", rng.IntN(30))
 				open[call] = &owed{class: c, deadline: now + left, object: object}
 				queue = append(queue, Event{Kind: Request, Call: call, Class: c.Name, Object: object, Group: 1, ExpiresIn: left})
@@ -560,20 +615,20 @@
 					t.Fatalf("seed %d: sends twice or to a drained server: %+v", seed, a)
 				}
 				if q.ran && (q.class.Idempotency == "non_idempotent" ||
-					q.class.Idempotency == "idempotency_key" && now-q.ranAt > q.class.MemorySpan) {
+					q.class.Idempotency == "idempotency_key" && now+a.Within-q.ranAt > q.class.MemorySpan) {
 					t.Fatalf("seed %d: effect twice: %+v", seed, a)
 				}
 				if q.ran && q.class.Group == "zone" && a.Node[0] != q.node[0] {
 					t.Fatalf("seed %d: outside the group: %+v", seed, a)
 				}
-				if p := purged[q.object]; now-p < set.Extra.PurgeTakes && (a.MaxAge <= 0 && q.class.Name == "big" || a.MaxAge > now-p) {
+				if p := purged[q.object]; now-p < set.Extra.PurgeTakes && (a.MaxAge <= 0 && strings.HasPrefix(q.class.Name, "big") || a.MaxAge > now-p) {
 					t.Fatalf("seed %d: purged copy would do: %+v", seed, a)
 				}
 				code, note := codes[rng.IntN(len(codes))], 0
 				if set.Extra.NotesGiven == "all" {
 					note = rng.IntN(11)
 				}
-				took := 1 + rng.Int64N(800*ms)
+				took := int64(stretch*float64(1+rng.Int64N(800*ms))) + 1
 				if now+took >= q.deadline {
 					took, code = q.deadline-now, TimedOut
 				}
--- a/rules/types.go
+++ b/rules/types.go
@@ -191,7 +191,7 @@
 
 // The kinds of action.
 const (
-	Get       ActionKind = iota + 1 // Call, Node, Source, TimeOut, Keep, MaxAge, How
+	Get       ActionKind = iota + 1 // Call, Node, Source, TimeOut, Keep, MaxAge, How, Within, Effects
 	Refuse                          // Call, RetryAfter
 	Fail                            // Call
 	Cancel                          // Call, Attempt
@@ -227,4 +227,8 @@
 	In         int64
 	Token      int64
 	On         bool
+	// Within is how long after its choice a Get may go out, in microseconds: a repeat of what may have run must not leave past the time
+	// in which its class drops repeats. Effects tells that running it twice does harm.
+	Within  int64
+	Effects bool
 }
