Hand-over, end and log: no word of a dead process, no line that waits

- A process that takes over says by a file that it serves; the one before it, told to end, then stops taking work at once.
A successor that said so and died, or was told to end, was believed all the same: new clients stood before a closed door.
The word is now a lock on that file, which the system takes back however the process ends (TestWordOfOneThatEnds; on real processes TestTakeOverThatEnds, killed, told to end, told to end while it starts).
Beliefs are left on the shelf again once a successor is gone.
- A call that takes a server out waited without bound for another process's lock; one stopped in the middle of its change kept it for good. 700 ms now, then a no (TestChangeOfOneThatIsStopped).
- Log lines were written where locks are held: a reader of the log that stops, with the pipe full, stopped the router, and one that goes ended it by SIGPIPE.
Lines go through a bounded queue now (internal/lines), SIGPIPE is ignored (TestLogReaderStopsOrGoes: without the queue the router never serves, without the second it dies).
- Where no class waits longer than 250 ms the process was still there when SIGKILL may come (at 800 ms for 100 ms; it left at 950).
The plan of the end is one function now; from 300 ms on its figures are as before (TestTheEnd).
- health is no longer answered with true by a process that is about to end.

Ruled out: SIGUSR1 before its handler stands ends nothing (Go's runtime passes it over; TestSignalBeforeReady plays it now).

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
@@ -26,6 +27,7 @@
 	"spantack/internal/clock"
 	"spantack/internal/config"
 	"spantack/internal/features"
+	"spantack/internal/lines"
 	"spantack/internal/manage"
 	"spantack/internal/msgpackrpc"
 	"spantack/internal/peers"
@@ -41,8 +43,10 @@
 	longestKept = 3000
 	killSlack   = 700
 	stopEarly   = 500
-	// takeAnswer is how long clients have to take those last answers.
+	// takeAnswer is how long clients have to take those last answers, where they wait so long.
 	takeAnswer = 150
+	// spareEnd before SIGKILL may come the process is gone, whatever the deadlines.
+	spareEnd = 50
 	// memoryShare of the limit is what Go's heap keeps under; the rest is for stacks, buffers and the kernel.
 	memoryShare = 0.7
 	// queueShare of the limit is what open requests and answers waiting for clients may hold.
@@ -74,15 +78,19 @@
 	_, err := parser.Parse(os.Args[1:])
 	signals := catch() // before the configuration is read: until then a signal would end the process
 	defer signals.release()
+	out := lines.New(os.Stderr)
 	var c *config.Config
 	if err == nil {
 		c, err = config.Load(os.Getenv)
 	}
 	if err == nil {
-		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) }, f, signals)
+		err = run(c, func() (*config.Config, error) { return config.Load(os.Getenv) }, f, signals, out)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "spantack:", err)
+		fmt.Fprintln(out, "spantack:", err)
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
@@ -98,6 +106,7 @@
 	end, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // who reads the log may be gone: that is no reason to end
 	return &caught{end, hangUp, func() { signal.Stop(hangUp); stop() }}
 }
 
@@ -132,11 +141,20 @@
 	return max(clients, min(sockets-servers-spareSockets, int(extraShare*memory/clientBytes))), servers
 }
 
+// theEnd plans the end of the process by the longest deadline of a class, in milliseconds from the signal: how long new work is taken, when
+// what is open gets its answer, and how long clients then have to take that. The process is gone spareEnd before SIGKILL may come.
+func theEnd(longest float64) (stay, last, take float64) {
+	kill := min(longest, longestKept) + killSlack
+	take = min(takeAnswer, longest/2)
+	last = min(max(kill-stopEarly, stayOpen), kill-spareEnd-take)
+	return min(stayOpen, last), last, take
+}
+
 // reload brings the configuration for a SIGHUP.
 type reload func() (*config.Config, error)
 
 // run serves until SIGTERM or SIGINT and returns when all that was taken has been answered.
-func run(c *config.Config, again reload, f flags, signals *caught) error {
+func run(c *config.Config, again reload, f flags, signals *caught, out io.Writer) error {
 	file := f.Features
 	on, frame, err := feature(file, c)
 	if err != nil {
@@ -144,7 +162,7 @@
 	}
 	runtime.GOMAXPROCS(1) // routers share one core: more threads would only take turns on it
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("router", c.Name).Logger()
+	log := zerolog.New(out).With().Timestamp().Str("router", c.Name).Logger()
 
 	// serving ends when the last request has its answer; accepting ends a while after the signal.
 	serving, served := context.WithCancel(context.Background())
@@ -180,7 +198,7 @@
 	var ready, ending atomic.Bool
 	server := &msgpackrpc.Server{Keyed: keyed(c), Handle: core.Serve, Turned: core.Turned, MostConns: clients,
 		MostQueued: int64(queueShare * memory), Clock: now, Log: log}
-	server.Ready = func() bool { return ready.Load() && !server.Evacuated() }
+	server.Ready = func() bool { return ready.Load() && !ending.Load() && !server.Evacuated() }
 	listener, err := openClients(c)
 	if err != nil {
 		return err
@@ -226,7 +244,7 @@
 			log.Warn().Err(err).Msg("can't say that this process serves")
 		}
 		staff := operate(core, server, pools, shelf, &files, log)
-		staff.Ready = func() bool { return server.Ready() && !ending.Load() }
+		staff.Ready = server.Ready
 		group.Go(func() error { return staff.Serve(serving, second) })
 		group.Go(func() error { return shelf.Follow(serving, core.Adopt) })
 		if inherited {
@@ -261,15 +279,15 @@
 			return nil
 		}
 		ending.Store(true)
-		stay := float64(stayOpen)
+		shelf.Ending()
+		stay, last, take := theEnd(longest.Load().(float64))
 		if inherited && shelf.Replaced() { // the other process takes what comes: to take more would only have it cut short
 			stay = 0
 		}
 		log.Info().Bool("replaced", stay == 0).Msg("stopping")
-		lastAnswer := max(min(longest.Load().(float64), longestKept)+killSlack-stopEarly, stayOpen)
-		server.Patience = lastAnswer + takeAnswer - stay // read once accepting has ended
+		server.Patience = last + take - stay // read once accepting has ended
 		now.AfterFunc(stay, stopAccepting)
-		now.AfterFunc(lastAnswer, core.Finish)
+		now.AfterFunc(last, core.Finish)
 		return nil
 	})
 	group.Go(func() error {
--- a/internal/manage/crossings_test.go
+++ b/internal/manage/crossings_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -48,3 +49,70 @@
 		t.Errorf("%v, %v", ids, err)
 	}
 }
+
+// The next process says that it serves, then dies or is told to end, before this one asks: it takes no work, and this one must not
+// stop taking it. Until the word is said whole nobody is replaced.
+func TestWordOfOneThatEnds(t *testing.T) {
+	for name, end := range map[string]func(*Shelf){
+		"dies":           func(s *Shelf) { s.word.Close() }, // as the system does for it
+		"is told to end": (*Shelf).Ending,
+	} {
+		dir := t.TempDir()
+		old, next, last := NewShelf(dir, zerolog.Nop()), NewShelf(dir, zerolog.Nop()), NewShelf(dir, zerolog.Nop())
+		says := func(s *Shelf) {
+			if err := s.Serving(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		says(old)
+		if old.Replaced() {
+			t.Errorf("%s: replaced by itself", name)
+		}
+		staged, err := next.stage(servingFile, 1) // it stands before its word has its name
+		if err != nil || old.Replaced() {
+			t.Errorf("%s: replaced by half a word, %v", name, err)
+		}
+		staged.Close()
+		says(next)
+		if !old.Replaced() || next.Replaced() {
+			t.Errorf("%s: not replaced by one that serves", name)
+		}
+		end(next)
+		if old.Replaced() || next.Replaced() {
+			t.Errorf("%s: replaced by one that serves no longer", name)
+		}
+		says(last)
+		if !old.Replaced() {
+			t.Errorf("%s: not replaced by the one after it", name)
+		}
+		old.Ending()
+		last.Ending()
+	}
+}
+
+// Another process was stopped in the middle of a change: a call is answered with a no, in time.
+func TestChangeOfOneThatIsStopped(t *testing.T) {
+	dir := t.TempDir()
+	stopped, s := NewShelf(dir, zerolog.Nop()), NewShelf(dir, zerolog.Nop())
+	in, leave := make(chan struct{}), make(chan struct{})
+	ended := make(chan error)
+	nothing := func([]string) error { return nil }
+	go func() {
+		ended <- stopped.Change(nothing, func() error { close(in); <-leave; return nil }, func() []string { return nil })
+	}()
+	<-in
+	answer := make(chan error, 1)
+	go func() { answer <- s.Change(nothing, func() error { return nil }, func() []string { return nil }) }()
+	select {
+	case err := <-answer:
+		if !errors.Is(err, syscall.EWOULDBLOCK) {
+			t.Errorf("answered %v", err)
+		}
+	case <-time.After(10 * lockPatience * time.Millisecond):
+		t.Error("a call waits for a process that is stopped")
+	}
+	close(leave)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
