--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -139,3 +139,21 @@
 		}
 	}
 }
+
+// New settings give a class keys after the front has read a request of it by the old ones: it is not sent on without one.
+func TestClassGetsKeysOnceRead(t *testing.T) {
+	g := newRig(t, "box", "parent", "origin")
+	if err := g.Retune(rules.Settings{Classes: []rules.Class{{Name: "page", Deadline: 3_000_000, Idempotency: "idempotency_key", Group: "all",
+		MemorySpan: 2_000_000}}, Permissions: rules.Permissions{MaxAttempts: 8}}); err != nil {
+		t.Fatal(err)
+	}
+	g.serve("r1")
+	select {
+	case a := <-g.answer:
+		if a.Verdict != Failed || len(g.mail) != 0 {
+			t.Errorf("verdict %d, %d mailboxes left", a.Verdict, len(g.mail))
+		}
+	case c := <-g.up.sent:
+		t.Errorf("sent to %s without a key", c.Server)
+	}
+}
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -123,11 +123,19 @@
 	if err := r.rules.Retune(r.last, set); err != nil {
 		return err
 	}
-	r.tally(set)
-	r.fields = set.Report.Fields
+	r.heed(set)
 	return nil
 }
 
+// heed takes in what the router itself reads of settings that the module has taken. r.mu is held, or nobody else has r yet.
+func (r *Router) heed(set rules.Settings) {
+	r.tally(set)
+	r.fields, r.keyed = set.Report.Fields, map[string]bool{}
+	for _, c := range set.Classes {
+		r.keyed[c.Name] = c.Idempotency == "idempotency_key"
+	}
+}
+
 // Beliefs are what the module has learnt, for a process that takes over.
 func (r *Router) Beliefs() rules.Beliefs {
 	r.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -137,7 +137,8 @@
 	list   *roster.Roster
 	last   int64 // the module's clock must not run backwards
 	mail   map[string]chan rules.Action
-	fields []string // what load reports hold, in the module's order
+	fields []string        // what load reports hold, in the module's order
+	keyed  map[string]bool // classes whose requests carry an idempotency key
 
 	tallies atomic.Pointer[map[string]*Tally] // by class; the map itself never changes
 
@@ -158,8 +159,7 @@
 	}
 	r := &Router{clock: c, log: log, upstream: upstream, rules: module, list: roster.New(), mail: map[string]chan rules.Action{},
 		finish: make(chan struct{})}
-	r.tally(set)
-	r.fields = set.Report.Fields
+	r.heed(set)
 	return r, nil
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -27,13 +27,19 @@
 	r.Counters.Taken.Add(1)
 	defer func() { r.count(q.Class, answer.Verdict) }()
 	mail := make(chan rules.Action, mailboxRoom)
+	end := q.Arrived + q.Allow - min(max(marginShare*q.Allow, leastMargin), mostMargin)
 	r.mu.Lock()
 	_, twice := r.mail[q.ID]
-	if !twice {
+	keyless := r.keyed[q.Class] && q.Key == ""
+	if !twice && !keyless {
 		r.mail[q.ID] = mail
+		r.take(rules.Event{Kind: rules.Request, Call: q.ID, Class: q.Class, Tenant: q.Tenant, Object: q.Object, Part: q.Part, Group: q.Group,
+			SizeKb: q.SizeKb, ExpiresIn: clock.Micros(end - r.clock.Now())})
 	}
 	r.mu.Unlock()
-	if twice { // guards the first request of that id: its answer must not go to this one
+	// Guards the first request of an id, whose answer must not go to the second; and a class that has got keys since the front
+	// read this request by older settings: its servers could not tell a repeat.
+	if twice || keyless {
 		r.Counters.Failed.Add(1)
 		return Answer{Verdict: Failed}
 	}
@@ -42,12 +48,8 @@
 		delete(r.mail, q.ID)
 		r.mu.Unlock()
 	}()
-
-	end := q.Arrived + q.Allow - min(max(marginShare*q.Allow, leastMargin), mostMargin)
 	late, lateTimer := r.clock.Alarm(end + overdueBy - r.clock.Now())
 	defer lateTimer.Stop()
-	r.step(rules.Event{Kind: rules.Request, Call: q.ID, Class: q.Class, Tenant: q.Tenant, Object: q.Object, Part: q.Part, Group: q.Group,
-		SizeKb: q.SizeKb, ExpiresIn: clock.Micros(end - r.clock.Now())})
 
 	// What is out for this request: never more than one attempt.
 	var (
