--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -28,6 +28,8 @@
 	defer func() { r.count(q.Class, answer.Verdict) }()
 	mail := make(chan rules.Action, mailboxRoom)
 	end := q.Arrived + q.Allow - min(max(marginShare*q.Allow, leastMargin), mostMargin)
+	late, lateTimer := r.clock.Alarm(end + overdueBy - r.clock.Now())
+	defer lateTimer.Stop()
 	r.mu.Lock()
 	_, twice := r.mail[q.ID]
 	keyless := r.keyed[q.Class] && q.Key == ""
@@ -48,8 +50,6 @@
 		delete(r.mail, q.ID)
 		r.mu.Unlock()
 	}()
-	late, lateTimer := r.clock.Alarm(end + overdueBy - r.clock.Now())
-	defer lateTimer.Stop()
 
 	// What is out for this request: never more than one attempt.
 	var (
