--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,7 +56,7 @@
 	RetryAfter float64
 }
 
-// Attempt is one try of a request at one server.
+// Attempt is one try of a request at one server. Times are milliseconds.
 type Attempt struct {
 	*Request
 	Server   string // id of the server
@@ -65,6 +65,8 @@
 	Keep     int
 	MaxAge   float64 // 0: the class's fresh time
 	How      int     // bits of rules.Action.How
+	Within   float64 // how long after its choice it may go out; 0: as long as its server may be sent to
+	Effects  bool    // to run it twice does harm: it must not be mistaken for another attempt of its request
 }
 
 // End is how an attempt ended.
@@ -74,7 +76,8 @@
 	Waited float64 // for the source
 	Body   []byte
 	Same   bool
-	Load   string // the server's load report as it came, "NAME:VALUE;NAME:VALUE"; empty: none
+	Load   string  // the server's load report as it came, "NAME:VALUE;NAME:VALUE"; empty: none
+	Made   float64 // Unix milliseconds at which the origin gave the copy out; 0: not told
 }
 
 // Call is an attempt that is out.
@@ -134,7 +137,8 @@
 	list   *roster.Roster
 	last   int64 // the module's clock must not run backwards
 	mail   map[string]chan rules.Action
-	fields []string // what load reports hold, in the module's order
+	fields []string        // what load reports hold, in the module's order
+	keyed  map[string]bool // classes whose requests carry an idempotency key
 
 	tallies atomic.Pointer[map[string]*Tally] // by class; the map itself never changes
 
@@ -155,8 +159,7 @@
 	}
 	r := &Router{clock: c, log: log, upstream: upstream, rules: module, list: roster.New(), mail: map[string]chan rules.Action{},
 		finish: make(chan struct{})}
-	r.tally(set)
-	r.fields = set.Report.Fields
+	r.heed(set)
 	return r, nil
 }
 
