--- a/emulator/result.go
+++ b/emulator/result.go
@@ -94,11 +94,15 @@
 	// Words counts datagrams that routers told one another, WordBytes the bytes of them that came to one.
 	Words     int64 `json:"words"`
 	WordBytes int64 `json:"wordBytes"`
+	// Largest and Next are the answered shares of the largest wishes of each class, and of the next fifth, over that of the whole class.
+	Largest [classes]float64 `json:"largest"`
+	Next    [classes]float64 `json:"next"`
 	// Unended counts wishes that were neither served nor lost by the end.
 	Unended int64 `json:"unended"`
 	// Touched is the share of other tenants' worth served in depots on caches that the guilty tenant also used.
 	Touched float64 `json:"touched"`
 
+	sizes     [classes][]sized
 	originAt  int64
 	originNow float64
 	originKbS float64
@@ -182,7 +186,10 @@
 }
 func (r *Result) refused(w *wish) { r.book(w, Tally{Refused: 1}) }
 func (r *Result) failed(w *wish)  { r.book(w, Tally{Failed: 1}) }
-func (r *Result) lost(w *wish)    { r.book(w, Tally{Lost: 1}) }
+func (r *Result) lost(w *wish) {
+	r.book(w, Tally{Lost: 1})
+	r.ended(w, false)
+}
 
 func (r *Result) served(w *World, wi *wish) {
 	c := &classOf[wi.class]
@@ -192,6 +199,7 @@
 		add.Timely, add.Earned = c.gain, c.gain
 	}
 	r.book(wi, add)
+	r.ended(wi, true)
 	if wi.counted && (int(wi.tenant) != r.guilty || w.cfg.Tenants == 1) {
 		_ = w.latency[wi.class].RecordValue(min(took, 9_999_999))
 	}
@@ -247,6 +255,9 @@
 func (w *World) finish() {
 	r := &w.res
 	r.originSecond()
+	for i := range r.sizes {
+		r.Largest[i], r.Next[i] = bySize(r.sizes[i])
+	}
 	for i := range w.latency {
 		r.P50Ms[i] = float64(w.latency[i].ValueAtQuantile(50)) / 1000
 		r.P99Ms[i] = float64(w.latency[i].ValueAtQuantile(99)) / 1000
--- a/lab/experiments/bench-day.jsonnet
+++ b/lab/experiments/bench-day.jsonnet
@@ -14,6 +14,8 @@
   claims: [
     { name: 'timely worth', of: 'none/calm/guilty', least: 0.99 },
     { name: 'attempts a request', of: 'none/calm/attemptsEach', most: 1.05 },
+    { name: 'large objects', of: 'none/calm/largest', least: 0.667 },
+    { name: 'the next in size', of: 'none/calm/next', least: 0.667 },
     { name: 'no rule broken', of: 'all/broken', most: 0 },
   ],
   chart: { figure: 'guilty', title: 'Timely worth', arms: ['none'], days: ['calm'] },
--- a/lab/experiments/second-site.jsonnet
+++ b/lab/experiments/second-site.jsonnet
@@ -19,8 +19,13 @@
     { name: 'calm day before a far head office', of: 'site/calm/timely', over: 'near/calm/timely', least: 0.97 },
     { name: 'jam that outlives purge and slow head office', of: 'site/both/end', over: 'site/calm/end', least: 0.93 },
     { name: 'that day, with reports against without', of: 'site/both/timely', over: 'silent/both/timely', least: 0.95 },
+  ] + [
+    { name: 'large objects, ' + day + ', ' + part, of: 'site/' + day + '/' + part, least: if day == 'calm' then 0.667 else 0.5 }
+    for day in ['calm', 'purge', 'slow', 'both']
+    for part in ['largest', 'next']
+  ] + [
     { name: 'no rule broken', of: 'all/broken', most: 0 },
   ],
-  table: ['timely', 'end', 'hits', 'originMb', 'refused', 'attemptsEach', 'p99CatalogueMs', 'broken'],
+  table: ['timely', 'end', 'hits', 'originMb', 'refused', 'attemptsEach', 'p99CatalogueMs', 'largest', 'next', 'broken'],
   chart: { figure: 'timely', title: 'Timely worth', arms: ['site', 'silent', 'near'], days: ['calm', 'purge', 'slow', 'both'] },
 }
--- a/lab/lab.go
+++ b/lab/lab.go
@@ -425,7 +425,7 @@
 		"refused": float64(all.Refused) / max(float64(all.Asked), 1), "failed": float64(all.Failed) / max(float64(all.Asked), 1),
 		"asked": float64(all.Asked), "attempts": float64(res.Attempts), "attemptsEach": float64(res.Attempts) / max(float64(res.Requests), 1), "events": float64(res.Events), "broken": float64(res.BrokenRules()),
 		"p50VideoMs": res.P50Ms[0], "p99VideoMs": res.P99Ms[0], "p50CatalogueMs": res.P50Ms[1], "p99CatalogueMs": res.P99Ms[1],
-		"p99ReportMs": res.P99Ms[2]}
+		"p99ReportMs": res.P99Ms[2], "largest": slices.Min(res.Largest[:]), "next": slices.Min(res.Next[:])}
 	if cfg.Hubs > 0 {
 		r.Figures["originMost"], r.Figures["originOverS"], r.Figures["coldMost"] = res.OriginMost, res.OriginOverS, res.ColdMost
 		r.Figures["coldShare"], r.Figures["unanswered"], r.Figures["unended"] = res.ColdShare, float64(res.Overdue), float64(res.Unended)
