New settings' graces bind attempts that wait for a connection; its tests hang no more

SIGHUP may bring shorter times for drains and purges: the module heeded them, the pools held attempts that wait for a connection to those of the start, and no line said that it takes a restart. They are retuned with the rest.

That test could also have gone wrong by chance: it sent the next attempt before the first had ended, which then may take a connection of its own. It waits for the end now, and wantCode gives up after 20 s, so that no test of the pools hangs for ten minutes where something is amiss.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -266,7 +266,7 @@
 			case <-serving.Done():
 				return nil
 			case <-signals.hangUp:
-				c = reconfigure(c, again, core, server, follower.Move, &files, log)
+				c = reconfigure(c, again, core, server, pools, follower.Move, &files, log)
 				longest.Store(c.Longest)
 				on = refeature(file, on, c, core, now, log)
 			}
--- a/cmd/spantack/operate.go
+++ b/cmd/spantack/operate.go
@@ -71,7 +71,7 @@
 
 // reconfigure takes the file in anew after SIGHUP and returns the configuration in force. Nothing of a file applies unless all of it can
 // be used. The board's address and the settings change in a running router; limits, seed and what connections rest on take a restart.
-func reconfigure(old *config.Config, again reload, core *router.Router, server *msgpackrpc.Server, move func(string), files *reloads,
+func reconfigure(old *config.Config, again reload, core *router.Router, server *msgpackrpc.Server, pools *resp.Pools, move func(string), files *reloads,
 	log zerolog.Logger) *config.Config {
 	c, err := again()
 	if err == nil {
@@ -86,6 +86,7 @@
 		return old
 	}
 	server.Retune(keyed(c))
+	pools.Retune(c.MostWait)
 	files.applied.Add(1)
 	if c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets || c.DialTimeout != old.DialTimeout || c.IdleClose != old.IdleClose ||
 		c.MaxStreams != old.MaxStreams || c.Settings.Zone != old.Settings.Zone {
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -243,23 +243,23 @@
 	one.expect("GET next")
 }
 
-// A repeat of a keyed request waits for a connection that comes up when its class no longer drops repeats: it is not sent, and its end
-// proves that. The time that drains and purges leave is longer.
-func TestRepeatPastItsWindow(t *testing.T) {
-	c := listen(t)
-	p, fake := newPools(t, c.addr())
-	k, l, one := dialled(p, c)
-	k.try.Within = p.opt.MostWait / 2
-	fake.Advance(p.opt.MostWait * 2 / 3)
-	p.mu.Unlock()
-	for up := false; !up; {
-		p.mu.Lock()
-		up = len(l.conns) == 1
-		p.mu.Unlock()
+// An attempt waits for a connection that comes up when it may go out no longer: it is not sent, and its end proves that. So it is where a
+// class no longer drops repeats, though drains and purges leave more time, and where new settings let those bind sooner meanwhile.
+func TestUpTooLate(t *testing.T) {
+	for name, ms := range map[string]struct{ grace, within float64 }{"repeat past its window": {300, 150}, "shorter grace": {150, 0}} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			c := listen(t)
+			p, fake := newPools(t, c.addr())
+			p.Retune(ms.grace)
+			fake.Advance(200) // since its choice
+			k, _, one := dialled(p, c)
+			k.try.Within = ms.within
+			p.mu.Unlock()
+			wantCode(t, k, rules.Refused)
+			send(p, "next")
+			one.expect("GET next")
+		})
 	}
-	send(p, "next")
-	one.expect("GET next")
-	wantCode(t, k, rules.Refused)
 }
 
 // An attempt with effects never ran, so its request goes to the same server again, and then the first answer comes a second time. It must not
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -112,6 +112,13 @@
 	return &Pools{opt: opt, clock: c, log: log, ctx: ctx, servers: map[string]*pool{}}
 }
 
+// Retune takes new settings' time after which a drain or purge binds, for attempts that are not written yet too.
+func (p *Pools) Retune(mostWait float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opt.MostWait = mostWait
+}
+
 // Apply keeps the addresses in step with the list of servers. Attempts out at a server that left go on.
 func (p *Pools) Apply(n router.Notice) {
 	p.mu.Lock()
@@ -397,7 +404,7 @@
 }
 
 // left is how long the attempt may still take to go out, in milliseconds. It guards the rules on drains and purges told since
-// the choice of its server, and that on effects: a repeat must not leave once its class no longer drops repeats.
+// the choice of its server, and that on effects: a repeat must not leave once its class no longer drops repeats. Pools.mu is held.
 func (k *call) left() float64 {
 	most := math.Inf(1)
 	for _, limit := range []float64{k.pools.opt.MostWait, k.try.Within} {
@@ -408,13 +415,14 @@
 	return most - (k.pools.clock.Now() - k.chosen)
 }
 
-// due tells whether an attempt may still be written: one that waited too long for its connection is not sent, which proves
-// that nothing ran.
-func (c *conn) due(k *call) bool {
+// due tells whether an attempt may still be written, and how long that may take: one that waited too long for its connection is not
+// sent, which proves that nothing ran, and one of which no byte went out must not begin to go out too late.
+func (c *conn) due(k *call) (wait float64, ok bool) {
 	p := c.pool.owner
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !k.over && k.left() < 0 {
+	left := k.left()
+	if !k.over && left < 0 {
 		delete(c.calls, k.try.ID)
 		k.end(router.End{Code: rules.Refused})
 		c.rest()
@@ -423,7 +431,7 @@
 	if k.begun {
 		delete(c.dropped, k.try.ID) // the DROP is written
 	}
-	return k.begun
+	return min(max(left, leastWrite), writeLimit), k.begun
 }
 
 // write puts queued commands on the socket, each within a bounded time.
@@ -433,10 +441,14 @@
 		case <-c.gone:
 			return
 		case m := <-c.queue:
-			if m.call != nil && !c.due(m.call) {
-				continue
+			wait := float64(writeLimit)
+			if m.call != nil {
+				var ok bool
+				if wait, ok = c.due(m.call); !ok {
+					continue
+				}
 			}
-			c.net.SetWriteDeadline(clock.Deadline(c.patience(m.call)))
+			c.net.SetWriteDeadline(clock.Deadline(wait))
 			_, err := c.net.Write(m.text)
 			if m.written != nil {
 				close(m.written)
@@ -450,14 +462,6 @@
 	}
 }
 
-// patience is how long a write may take, in milliseconds: an attempt of which no byte went out must not begin to go out too late.
-func (c *conn) patience(k *call) float64 {
-	if k == nil {
-		return writeLimit
-	}
-	return min(max(k.left(), leastWrite), writeLimit)
-}
-
 // wrote books a command that is on the socket, or with an error one that is not whole there: what did not come whole to a
 // server never ran.
 func (c *conn) wrote(m command, err error) {
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -91,7 +91,12 @@
 
 func wantCode(t *testing.T, k router.Call, want rules.Code) router.End {
 	t.Helper()
-	e := <-k.Done()
+	var e router.End
+	select {
+	case e = <-k.Done():
+	case <-time.After(20 * time.Second):
+		t.Fatalf("has not ended, want %q", want)
+	}
 	if e.Code != want {
 		t.Errorf("ended %q, want %q", e.Code, want)
 	}
