--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -52,9 +52,7 @@
 func TestDropBehindStuckWrite(t *testing.T) {
 	c := listen(t)
 	p := shared(t, c.addr(), 0)
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	other := send(p, "b")
 	one.expect("GET b")
 	stuck := stick(t, p, one)
@@ -163,9 +161,7 @@
 func TestSecondAnswer(t *testing.T) {
 	c := listen(t)
 	p, _ := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	one.say("a", "MISS", "-", "")
 	wantCode(t, k, rules.Miss)
 	k = send(p, "a")
@@ -184,15 +180,8 @@
 	for word, code := range map[string]rules.Code{"BUSY": rules.Busy, "OK": rules.Done} {
 		c := listen(t)
 		p, _ := newPools(t, c.addr())
-		k := send(p, "a")
-		one := c.accept()
-		one.expect("GET a")
-		one.say("x", "VOID", "-", "") // the server lives: its connection is kept
-		for heard := false; !heard; {
-			p.mu.Lock()
-			heard = p.servers["s-1"].conns[0].heard > 0
-			p.mu.Unlock()
-		}
+		k, one := out(p, c)
+		one.live(p)
 		k.Drop(true)
 		k = send(p, "a")
 		one.expect("DROP a", "GET a")
@@ -293,15 +282,8 @@
 func TestLateAnswerOfAnOlderCopy(t *testing.T) {
 	c := listen(t)
 	p, fake := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
-	one.say("x", "VOID", "-", "") // the server lives: its connection is kept
-	for heard := false; !heard; {
-		p.mu.Lock()
-		heard = p.servers["s-1"].conns[0].heard > 0
-		p.mu.Unlock()
-	}
+	k, one := out(p, c)
+	one.live(p)
 	k.Drop(true)
 	fake.Advance(500)
 	k = p.Send(router.Attempt{Request: &router.Request{ID: "a"}, Server: "s-1", MaxAge: 400})
@@ -317,9 +299,7 @@
 func TestIdleTimeCrossesUse(t *testing.T) {
 	c := listen(t)
 	p, fake := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	one.say("a", "MISS", "-", "")
 	wantCode(t, k, rules.Miss)
 	p.mu.Lock()
--- a/internal/resp/pool_test.go
+++ b/internal/resp/pool_test.go
@@ -87,6 +87,24 @@
 	return p.Send(router.Attempt{Request: &router.Request{ID: id}, Server: "s-1"})
 }
 
+// out is an attempt that has come to the peer, on the first connection to it.
+func out(p *Pools, c *cache) (router.Call, *link) {
+	k := send(p, "a")
+	one := c.accept()
+	one.expect("GET a")
+	return k, one
+}
+
+// live says something on a connection and returns once it is heard: its server is no silent one.
+func (l *link) live(p *Pools) {
+	l.say("x", "VOID", "-", "")
+	for heard := false; !heard; {
+		p.mu.Lock()
+		heard = p.servers["s-1"].conns[0].heard > 0
+		p.mu.Unlock()
+	}
+}
+
 func (c *cache) addr() string { return c.Addr().String() }
 
 func wantCode(t *testing.T, k router.Call, want rules.Code) router.End {
@@ -139,9 +157,7 @@
 func TestDropThenGet(t *testing.T) {
 	c := listen(t)
 	p, _ := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	one.say("a", "OK", "-", "x")
 	wantCode(t, k, rules.Done)
 	k = send(p, "a") // the connection has been heard of as late as this was sent
@@ -159,9 +175,7 @@
 	c := listen(t)
 	p, fake := newPools(t, c.addr())
 	fake.Advance(1)
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	k.Drop(true)
 	if p.mu.Lock(); p.conns != 0 {
 		t.Error("the connection is still open")
@@ -208,9 +222,7 @@
 func TestAddressReused(t *testing.T) {
 	c := listen(t)
 	p, _ := newPools(t, c.addr())
-	k := send(p, "a")
-	old := c.accept()
-	old.expect("GET a")
+	k, old := out(p, c)
 	p.Apply(router.Notice{Servers: []router.Server{{ID: "s-1", Status: "deregistered"}}})
 	wantCode(t, send(p, "b"), rules.Skipped)
 	list(p, "s-2", c.addr())
@@ -228,9 +240,7 @@
 func TestMalformed(t *testing.T) {
 	c := listen(t)
 	p, _ := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	one.Write([]byte("HTTP/1.1 200 OK\r\n"))
 	wantCode(t, k, rules.Reset)
 	if p.mu.Lock(); p.faults != 1 {
@@ -243,9 +253,7 @@
 func TestIdle(t *testing.T) {
 	c := listen(t)
 	p, fake := newPools(t, c.addr())
-	k := send(p, "a")
-	one := c.accept()
-	one.expect("GET a")
+	k, one := out(p, c)
 	one.say("a", "MISS", "-", "")
 	wantCode(t, k, rules.Miss)
 	// the reader arms the idle close under the same lock as it ends the attempt
@@ -322,9 +330,7 @@
 	for _, words := range [][]string{{"a", "SAME", "n=TCP_HIT"}, {"a", "OK", "n=TCP_HIT"}, {"a", "GOOD", "-", "x"}} {
 		c := listen(t)
 		p, _ := newPools(t, c.addr())
-		k := send(p, "a")
-		one := c.accept()
-		one.expect("GET a")
+		k, one := out(p, c)
 		one.say(words...)
 		wantCode(t, k, rules.Reset)
 		if _, err := one.in.ReadByte(); err == nil {
