A client that leaves behind a late dial, on a whole process, by the cache's ledger

The cache's listener takes nothing up, so that the system tries again a second later; meanwhile the client leaves. The first that the cache hears on that connection is another client's request.

--- a/cmd/spantack/process_test.go
+++ b/cmd/spantack/process_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -436,3 +439,109 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// full is a listener that takes no connection up: the system drops what comes, as it does at a machine that is swamped, until open is called.
+func full(t *testing.T) (addr string, open func() net.Listener) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "full")
+	defer f.Close()
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	addr = l.Addr().String()
+	for range 8 { // one of them finds room
+		nc, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
+		if err != nil {
+			return addr, func() net.Listener {
+				for {
+					nc, err := l.Accept()
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := nc.Read(make([]byte, 1)); err != nil { // one of ours
+						nc.Close()
+						return l
+					}
+				}
+			}
+		}
+		nc.Close()
+	}
+	t.Fatal("the listener takes all up")
+	return "", nil
+}
+
+// A client leaves while the connection to the cache that its request needs does not come up. When it does, the request is not sent on it: the
+// first that the cache hears there is another client's.
+func TestLeftBehindALateDial(t *testing.T) {
+	t.Parallel()
+	addr, open := full(t)
+	second := free(t)
+	p, into := launch(t, true, func(c *exec.Cmd) { c.Env = append(c.Env, "RELAY_MGMT="+second, "TMPDIR="+t.TempDir()) })
+	at := regexp.MustCompile(`("uid":"s-0000000[13]","endpoint":")[^"]*`)
+	io.WriteString(into, strings.Replace(at.ReplaceAllString(p.text, "${1}"+addr), `"DialTimeout":500000`, `"DialTimeout":20000000`, 1))
+	into.Close()
+	outstanding := func(n int) {
+		t.Helper()
+		want := fmt.Sprintf("app.outstanding:%d|g\n", n)
+		for range 1000 {
+			if r, err := http.Get("http://" + second + "/api/telemetry"); err == nil {
+				text, _ := io.ReadAll(r.Body)
+				if r.Body.Close(); strings.Contains(string(text), want) {
+					return
+				}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("never %d outstanding; log: %s", n, p.log)
+	}
+	leaves, stays := p.client(), p.client()
+	p.healthy(leaves)
+	ask(leaves, 2, "00000000000000aa")
+	outstanding(1)
+	leaves.Close()
+	outstanding(0)
+	up := make(chan net.Conn, 32)
+	go p.cache(&told{open(), up})
+	late := <-up // nobody else dials: the system has tried for the first request again
+	p.healthy(stays)
+	for i := range 6 { // until one goes that way: the router may hear a moment later that it is up
+		ref := fmt.Sprintf("00000000000000b%x", i)
+		ask(stays, 2+i, ref)
+		p.wait("GET " + ref)
+		p.mu.Lock()
+		used := slices.Contains(slices.Collect(maps.Values(p.hold)), late)
+		p.mu.Unlock()
+		if used {
+			break
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.ledger, "GET 00000000000000aa"); i >= 0 || !slices.Contains(slices.Collect(maps.Values(p.hold)), late) {
+		t.Errorf("sent on when the connection came up (%d), or nothing came that way: %q", i, p.ledger)
+	}
+}
+
+// told is a listener that tells of the connections that it has taken up.
+type told struct {
+	net.Listener
+	up chan<- net.Conn
+}
+
+func (l *told) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		l.up <- nc
+	}
+	return nc, err
+}
