A process that ends takes its word back before it says that it is not ready

Between the two lines the process before it, told to end just then, still took it for its replacement; TestTakeOverThatEnds could have met that by chance.

--- a/cmd/spantack/main.go
+++ b/cmd/spantack/main.go
@@ -278,8 +278,8 @@
 		case <-serving.Done():
 			return nil
 		}
+		shelf.Ending() // first: whoever is told that this process is not ready must find no word of it
 		ending.Store(true)
-		shelf.Ending()
 		stay, last, take := theEnd(longest.Load().(float64))
 		if inherited && shelf.Replaced() { // the other process takes what comes: to take more would only have it cut short
 			stay = 0
