--- a/cmd/spantack/main_test.go
+++ b/cmd/spantack/main_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"spantack/internal/config"
 )
@@ -90,6 +91,16 @@
 	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	for since := time.Now(); ; { // it hears the signal, and says that it takes no more
+		io.WriteString(client, "\x94\x00\x03\xa6health\x91\x80")
+		got := make([]byte, 7)
+		if _, err := io.ReadFull(client, got); err != nil || time.Since(since) > 10*time.Second {
+			t.Fatalf("health, about to end: %q, %v", got, err)
+		}
+		if string(got) == "\x94\x01\x03\xc0\x92\xc2\x80" {
+			break
+		}
+	}
 	io.WriteString(server, "*4\r\n$16\r\n0000000000000001\r\n$2\r\nOK\r\n$9\r\nn=TCP_HIT\r\n$3\r\nabc\r\n")
 	expect(client, "\x94\x01\x02\xc0\x92\xc4\x03abc\x80")
 	if rest, err := io.ReadAll(client); err != nil || !bytes.Equal(rest, nil) {
