Quiet connections give way: the test waits until the server has booked the answer

Its client had its answer while the server still counted it as unsent, so that no connection was quiet and the new one found no place; with the machine held up that moment is long enough. The test waits for the booking now; its assertions stand.

Nothing is left out or loosened.

--- a/internal/msgpackrpc/server_test.go
+++ b/internal/msgpackrpc/server_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"reflect"
 	"testing"
@@ -273,6 +274,14 @@
 	c.request(1, "page", "0000000000000001")
 	(<-c.asked).answer <- router.Answer{Verdict: router.Failed}
 	c.expect("[1 1 [Error map[]] <nil>]")
+	for owed := true; owed; { // the client may have its answer a moment before the server books that
+		c.Server.mu.Lock()
+		owed = false
+		for o := range c.conns {
+			owed = owed || math.IsInf(o.rank(), 1)
+		}
+		c.Server.mu.Unlock()
+	}
 	dial := func() *client {
 		nc, err := net.Dial("tcp", c.addr)
 		if err != nil {
