--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -146,11 +146,13 @@
 
 // board is the notice board.
 type board struct {
-	addr string
+	addr     string
+	listener net.Listener
 
 	mu      sync.Mutex
 	frames  [][]byte
 	changed chan struct{}
+	conns   []net.Conn
 }
 
 func startBoard() (*board, error) {
@@ -158,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &board{addr: l.Addr().String(), changed: make(chan struct{})}
+	b := &board{addr: l.Addr().String(), listener: l, changed: make(chan struct{})}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -172,6 +174,9 @@
 }
 
 func (b *board) serve(conn net.Conn) {
+	b.mu.Lock()
+	b.conns = append(b.conns, conn)
+	b.mu.Unlock()
 	defer conn.Close()
 	var last [8]byte
 	if _, err := io.ReadFull(conn, last[:]); err != nil {
@@ -230,3 +235,15 @@
 	p = binary.BigEndian.AppendUint32(p, 4000)
 	return binary.BigEndian.AppendUint64(p, 0)
 }
+
+// stopAccepting makes the board accept no new connection and tell nothing further.
+func (b *board) stopAccepting() { b.listener.Close() }
+
+// end closes the open connections.
+func (b *board) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, conn := range b.conns {
+		conn.Close()
+	}
+}
