--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -48,9 +48,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return newClient(conn), nil
+}
+
+// newClient returns a client on a connection.
+func newClient(conn net.Conn) *client {
 	c := &client{conn: conn, open: map[uint64]chan answer{}}
 	go c.read()
-	return c, nil
+	return c
 }
 
 func (c *client) close() { c.conn.Close() }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -88,6 +88,7 @@
 // router is one router process.
 type router struct {
 	addr   string
+	mgmt   string // management address; empty: none
 	cmd    *exec.Cmd
 	exited chan struct{}
 	log    string
@@ -98,6 +99,7 @@
 	memoryMB int
 	board    string
 	settings map[string]any
+	mgmt     bool // the router gets a management address
 }
 
 // startRouter starts a router with the command `run` of the deploy file and waits until it answers health with true.
@@ -142,6 +144,12 @@
 	p.cmd = exec.Command("/bin/sh", "-c", string(match[1]))
 	p.cmd.Dir = r.root
 	p.cmd.Env = append(os.Environ(), "RELAY_NAME=n0", "RELAY_LISTEN="+addr, "RELAY_CONFIG="+config, "TMPDIR="+state)
+	if o.mgmt {
+		if p.mgmt, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		p.cmd.Env = append(p.cmd.Env, "RELAY_MGMT="+p.mgmt)
+	}
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
