Review: routers of a case end with its driver, and the board checks numbers

Why: a script must end all that it started, also when it is stopped; a stand-in must not end on a stray connection.

What: the driver starts routers from its main thread, whose end ends them; the notice board closes a connection that asks from a number it does not have.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -43,6 +44,9 @@
 // cases holds the cases by name.
 var cases = map[string]func(*rig) (int, error){}
 
+// The routers die with the thread that starts them (Pdeathsig), so this must be the main one.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	time.AfterFunc(115*time.Second, func() { os.Exit(exitNotRun) })
 	code, err := play(os.Args[1])
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -183,6 +183,12 @@
 		return
 	}
 	sent := int(binary.BigEndian.Uint64(last[:]))
+	b.mu.Lock()
+	isValid := sent >= 0 && sent <= len(b.frames)
+	b.mu.Unlock()
+	if !isValid {
+		return
+	}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
