--- a/cmd/spantack/counters.go
+++ b/cmd/spantack/counters.go
@@ -52,7 +52,8 @@
 
 func (p *process) logRequestCounters() {
 	n := &p.router.Counters
-	evicted, rejected, clientFaults := p.server.ConnectionCounts()
+	clients := p.server.Stats()
+	heap := readHeapSize()
 	p.log.Info().
 		Int64("taken", n.Accepted.Load()).
 		Int64("sent", n.Attempts.Load()).
@@ -62,9 +63,12 @@
 		Int64("gone", n.Departed.Load()).
 		Int64("overdue", n.Overdue.Load()).
 		Int64("faults", n.Faults.Load()).
-		Int64("client_faults", clientFaults).
-		Int64("gave_way", evicted).
-		Int64("turned_away", rejected).
+		Int64("client_faults", clients.Faults).
+		Int64("gave_way", clients.EvictedConns).
+		Int64("turned_away", clients.RejectedConns).
+		Int64("reserved", clients.ReservedBytes).
+		Uint64("heap_live", heap.live).
+		Uint64("heap_used", heap.used).
 		Msg("counters")
 }
 
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -139,11 +139,24 @@
 	return keyRequired, isKnown
 }
 
-// ConnectionCounts returns the numbers of evicted connections, of rejected connections, and of recorded faults.
-func (s *Server) ConnectionCounts() (evicted, rejected, faults int64) {
+// Stats describes a server: counts since its start, and the current reservation of memory.
+type Stats struct {
+	EvictedConns  int64 // closed in favor of new ones
+	RejectedConns int64 // closed because all others had a pending response
+	Faults        int64 // of clients or the system
+	ReservedBytes int64 // reserved part of MaxQueuedBytes
+}
+
+// Stats returns the server's current statistics.
+func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evictedCount, s.rejectedCount, s.faultCount
+	return Stats{
+		EvictedConns:  s.evictedCount,
+		RejectedConns: s.rejectedCount,
+		Faults:        s.faultCount,
+		ReservedBytes: s.queuedBytes,
+	}
 }
 
 // recordFault counts a fault of a client or the system, and logs at most one fault per ratelog.Interval.
