--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -112,8 +112,8 @@
 func (c *Client) read() {
 	reader := bufio.NewReader(c.conn)
 	for {
-		d := decoder{reader: reader, remaining: maxResponse, maxLength: maxResponseBody}
-		v, err := d.readValue(0)
+		d := newDecoder(reader, maxResponse, maxResponseBody, nil)
+		v, err := d.readMessage()
 		if err == nil {
 			err = c.deliver(v)
 		}
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -103,15 +103,11 @@
 			continue
 		}
 		c.beginMessage()
-		v, err := readMessage(reader)
+		m, err := c.readMessage(reader)
 		if err != nil {
 			return err
 		}
 		arrivedAt := c.server.Clock.Now()
-		m, err := parseMessage(v)
-		if err != nil {
-			return err
-		}
 		c.recordMessage(arrivedAt)
 		if err := c.handleMessage(ctx, m, arrivedAt, handlers); err != nil {
 			return err
@@ -119,6 +115,19 @@
 	}
 }
 
+// readMessage reads a message.
+func (c *conn) readMessage(reader *bufio.Reader) (message, error) {
+	d := newDecoder(reader, maxMessageSize, maxStringSize, c.server.reserve)
+	defer d.memory.release()
+	v, err := d.readMessage()
+	if err != nil {
+		return message{}, err
+	}
+	m, err := parseMessage(v)
+	m.incomplete = d.memory.incomplete
+	return m, err
+}
+
 // awaitMessage sets the read deadline for the start of the next message. If the connection is to close and no request
 // is open, closesAfterWait is true and the deadline is short: it only allows for messages already in transit. If wake
 // is called while awaitMessage runs, awaitMessage keeps the expired deadline that wake set. The read then fails
--- a/internal/msgpackrpc/decode.go
+++ b/internal/msgpackrpc/decode.go
@@ -51,20 +51,31 @@
 // errMalformed is wrapped by all errors about bytes that violate the protocol. Such an error ends the connection.
 var errMalformed = errors.New("malformed message")
 
-// decoder decodes one message within size limits.
+// decoder decodes one message within limits of its size and memory.
 type decoder struct {
 	reader    *bufio.Reader
-	remaining int // bytes that the rest of the message may use
+	remaining int // bytes that the strings, bodies and numbers of the rest of the message may have
 	maxLength int // limit of a string or body, in bytes
+	memory    messageMemory
+	number    [8]byte // buffer of readUint
 }
 
-// readMessage reads one MessagePack value: nil, bool, int64, uint64, float64, string, []byte, []any or map[string]any.
-// It returns io.EOF if the stream ends between messages, and io.ErrUnexpectedEOF if it ends within a message.
-func readMessage(reader *bufio.Reader) (any, error) {
-	d := decoder{reader: reader, remaining: maxMessageSize, maxLength: maxStringSize}
-	return d.readValue(0)
+// newDecoder returns a decoder of one message. maxSize bounds the bytes of its strings, bodies and numbers together, and
+// maxLength those of one. Large strings are also reserved with reserve, unless it is nil.
+func newDecoder(reader *bufio.Reader, maxSize, maxLength int, reserve func(n int64) bool) *decoder {
+	return &decoder{
+		reader:    reader,
+		remaining: maxSize,
+		maxLength: maxLength,
+		memory:    messageMemory{smallValues: maxSmallValues, reserve: reserve},
+	}
 }
 
+// readMessage reads one MessagePack value: nil, bool, int64, uint64, float64, string, []byte, []any or map[string]any.
+// It returns io.EOF if the stream ends between messages, and io.ErrUnexpectedEOF if it ends within a message. A string
+// that was not kept (messageMemory.incomplete) is empty. The caller must release the memory.
+func (d *decoder) readMessage() (any, error) { return d.readValue(0) }
+
 // readValue reads a value at the nesting level depth, which is 0 for the outermost value.
 func (d *decoder) readValue(depth int) (any, error) {
 	if depth > maxDepth {
@@ -72,8 +83,8 @@
 	}
 	format, err := d.reader.ReadByte()
 	if err != nil {
-		if err == io.EOF && depth > 0 {
-			err = io.ErrUnexpectedEOF
+		if depth > 0 {
+			err = unexpectedEOF(err)
 		}
 		return nil, err
 	}
@@ -138,31 +149,77 @@
 	return nil, fmt.Errorf("%w: unknown format %#x", errMalformed, format)
 }
 
-// readBytes reads n bytes, if the limits allow that many.
+// readBytes reads a string or body of n bytes, if the limits allow that many.
 func (d *decoder) readBytes(n int) ([]byte, error) {
-	if n > d.maxLength || n > d.remaining {
-		return nil, fmt.Errorf("%w: %d bytes exceed the size limit", errMalformed, n)
+	if err := d.takeBytes(n); err != nil {
+		return nil, err
+	}
+	if n > maxSmallString {
+		return d.readLarge(n)
+	}
+	if err := d.memory.charge(stringCost + n); err != nil {
+		return nil, err
 	}
-	d.remaining -= n
 	b := make([]byte, n)
-	if _, err := io.ReadFull(d.reader, b); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+	return b, d.readFull(b)
+}
+
+// readLarge reads a large string. Its buffer grows with the bytes that arrive, so that a header alone takes little
+// memory. If the shared limit is reached, readLarge discards the string and returns nil.
+func (d *decoder) readLarge(n int) ([]byte, error) {
+	var b []byte
+	for len(b) < n {
+		size := min(max(2*len(b), firstReadSize), n)
+		if !d.memory.reserveLarge(size - len(b)) {
+			return nil, d.discard(n - len(b))
+		}
+		grown := make([]byte, size)
+		unread := grown[copy(grown, b):]
+		b = grown
+		if err := d.readFull(unread); err != nil {
+			return nil, err
 		}
-		return nil, err
 	}
 	return b, nil
 }
 
+// takeBytes subtracts n bytes from the rest of the message, or returns an error if it allows fewer.
+func (d *decoder) takeBytes(n int) error {
+	if n > d.maxLength || n > d.remaining {
+		return fmt.Errorf("%w: %d bytes exceed the size limit", errMalformed, n)
+	}
+	d.remaining -= n
+	return nil
+}
+
+// readFull fills b. The end of the stream is unexpected, also before the first byte.
+func (d *decoder) readFull(b []byte) error {
+	_, err := io.ReadFull(d.reader, b)
+	return unexpectedEOF(err)
+}
+
+// discard reads n bytes without keeping them.
+func (d *decoder) discard(n int) error {
+	_, err := d.reader.Discard(n)
+	return unexpectedEOF(err)
+}
+
+// unexpectedEOF converts io.EOF within a message to io.ErrUnexpectedEOF, and returns other errors unchanged.
+func unexpectedEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // readUint reads a big-endian unsigned integer of n bytes.
 func (d *decoder) readUint(n int) (uint64, error) {
-	b, err := d.readBytes(n)
-	if err != nil {
+	if err := d.takeBytes(n); err != nil {
 		return 0, err
 	}
-	var wide [8]byte
-	copy(wide[8-n:], b)
-	return binary.BigEndian.Uint64(wide[:]), nil
+	d.number = [8]byte{}
+	err := d.readFull(d.number[8-n:])
+	return binary.BigEndian.Uint64(d.number[:]), err
 }
 
 // readInt reads a big-endian signed integer of n bytes.
@@ -192,6 +249,9 @@
 	if n > maxItems {
 		return nil, fmt.Errorf("%w: array of %d values exceeds the limit", errMalformed, n)
 	}
+	if err := d.memory.charge(arrayCost + n*elementCost); err != nil {
+		return nil, err
+	}
 	list := make([]any, n)
 	for i := range list {
 		v, err := d.readValue(depth + 1)
@@ -209,6 +269,9 @@
 	if n > maxItems {
 		return nil, fmt.Errorf("%w: map of %d pairs exceeds the limit", errMalformed, n)
 	}
+	if err := d.memory.charge(mapCost + n*mapPairCost); err != nil {
+		return nil, err
+	}
 	pairs := make(map[string]any, n)
 	for range n {
 		key, err := d.readValue(depth + 1)
@@ -226,7 +289,7 @@
 	return pairs, nil
 }
 
-// asUint64 converts an integer that readMessage returned. ok is false if v is not an integer or is negative.
+// asUint64 converts an integer that a decoder returned. ok is false if v is not an integer or is negative.
 func asUint64(v any) (n uint64, ok bool) {
 	switch n := v.(type) {
 	case uint64:
--- a/internal/msgpackrpc/handler.go
+++ b/internal/msgpackrpc/handler.go
@@ -45,6 +45,9 @@
 	if !isKnown {
 		return c.enqueueBytes(appendError(nil, m.id, errorFailed, fieldReason, "unknown method"))
 	}
+	if m.incomplete {
+		return c.reject(m, overloadRetryAfter)
+	}
 	request, err := parseRequest(m.method, m.params, keyRequired)
 	if err != nil {
 		server.recordFault(fmt.Errorf("request: %w", err))
--- a/internal/msgpackrpc/interleavings_test.go
+++ b/internal/msgpackrpc/interleavings_test.go
@@ -223,8 +223,7 @@
 		}
 	}
 	call.respond(t, router.Response{Outcome: router.Served, Body: make([]byte, large)})
-	d := decoder{reader: client.reader, remaining: 2 * large, maxLength: 2 * large}
-	value, err := d.readValue(0)
+	value, err := newDecoder(client.reader, 2*large, 2*large, nil).readMessage()
 	if list, _ := value.([]any); err != nil || len(list) != 4 || list[2] != nil {
 		t.Errorf("large response to another client: got %.80v, %v", value, err)
 	}
--- a/internal/msgpackrpc/message.go
+++ b/internal/msgpackrpc/message.go
@@ -60,6 +60,8 @@
 	id     uint64 // of a request; 0 for a notification
 	method string
 	params []any
+	// incomplete is true if a string of the message was read but not kept, for lack of memory.
+	incomplete bool
 }
 
 // parseMessage parses a message but does not check the parameters. Errors wrap errMalformed.
--- a/internal/msgpackrpc/testclient_test.go
+++ b/internal/msgpackrpc/testclient_test.go
@@ -119,6 +119,11 @@
 	testwait.Receive(t, h.ctx.Done(), "the end of the context of request "+h.ID)
 }
 
+// readMessage reads one message without a limit that messages share.
+func readMessage(reader *bufio.Reader) (any, error) {
+	return newDecoder(reader, maxMessageSize, maxStringSize, nil).readMessage()
+}
+
 // encodeRequest encodes a request with the required fields.
 func encodeRequest(id uint64, method, ref string) []byte {
 	fields := map[string]any{"ref": ref, "allow": "1500"}
