--- a/cmd/spantack/reload.go
+++ b/cmd/spantack/reload.go
@@ -39,7 +39,7 @@
 	}
 	if err != nil {
 		p.reloads.rejected.Add(1)
-		p.log.Error().Err(err).Msg("new configuration can't be used")
+		p.log.Error().Err(err).Str("board", old.DiscoveryAddr).Msg("new configuration can't be used")
 		return
 	}
 	p.server.UpdateClasses(keyedClasses(c))
@@ -66,6 +66,7 @@
 // running process can't change.
 func keepRestartFields(old, c *config.Config) *config.Config {
 	effective := *c
+	effective.RememberKeys(old)
 	effective.InitialEvents = nil // used only at start; the watch has delivered newer events since the start
 	effective.MemoryMB = old.MemoryMB
 	effective.MaxSockets = old.MaxSockets
