Counters: connections closed while the client had not taken all responses

Three hypotheses: the responses wait in the router's queue, the caches did not answer, or the responses were written and the close dropped them. No counter told them apart.

--- a/cmd/spantack/counters.go
+++ b/cmd/spantack/counters.go
@@ -66,6 +66,7 @@
 		Int64("client_faults", clients.Faults).
 		Int64("gave_way", clients.EvictedConns).
 		Int64("turned_away", clients.RejectedConns).
+		Int64("unread_closes", clients.UnreadCloses).
 		Int64("reserved", clients.ReservedBytes).
 		Uint64("heap_live", heap.live).
 		Uint64("heap_used", heap.used).
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"spantack/internal/clock"
+	"spantack/internal/sendqueue"
 )
 
 // conn is one client connection. serve reads its messages; the writer and each handler run in separate goroutines.
@@ -67,6 +68,9 @@
 	if err == nil {
 		c.linger()
 	}
+	if sendqueue.Unacknowledged(c.netConn) > 0 {
+		c.server.recordUnreadClose()
+	}
 	c.netConn.Close()
 }
 
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -82,6 +82,8 @@
 	faultLog      ratelog.Limiter
 	evictedCount  int64
 	rejectedCount int64 // of connections
+	// unreadCloseCount is the number of connections closed while responses were unread.
+	unreadCloseCount int64
 }
 
 // Serve accepts connections until ctx ends, then closes each connection once it has no open requests, and returns when
@@ -145,6 +147,7 @@
 	RejectedConns int64 // closed because all others had a pending response
 	Faults        int64 // of clients or the system
 	ReservedBytes int64 // reserved part of MaxQueuedBytes
+	UnreadCloses  int64 // connections that the server closed while the client had not taken all responses
 }
 
 // Stats returns the server's current statistics.
@@ -156,9 +159,17 @@
 		RejectedConns: s.rejectedCount,
 		Faults:        s.faultCount,
 		ReservedBytes: s.queuedBytes,
+		UnreadCloses:  s.unreadCloseCount,
 	}
 }
 
+// recordUnreadClose counts a connection that the server closes while responses are unread.
+func (s *Server) recordUnreadClose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadCloseCount++
+}
+
 // recordFault counts a fault of a client or the system, and logs at most one fault per ratelog.Interval.
 func (s *Server) recordFault(err error) {
 	s.mu.Lock()
