--- a/internal/msgpackrpc/capacity.go
+++ b/internal/msgpackrpc/capacity.go
@@ -9,7 +9,7 @@
 	var evicted []*conn
 	defer func() {
 		for _, e := range evicted {
-			e.netConn.Close()
+			e.close()
 		}
 	}()
 	s.mu.Lock()
@@ -43,15 +43,19 @@
 
 // evictionRank orders connections for eviction, lowest rank first. The connection that has been idle for longest has
 // the lowest rank. A connection without a message counts as idle for firstMessageTimeout longer, once it is older than
-// newConnGracePeriod. While a response is pending, the rank is infinite, which prevents eviction.
+// newConnGracePeriod. A connection whose client may still be reading comes after all that are idle. While a response is
+// pending, the rank is infinite, which prevents eviction.
 func (c *conn) evictionRank() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.server.Clock.Now()
 	switch {
 	case len(c.openRequests) > 0 || c.unsentResponses > 0:
 		return math.Inf(1)
-	case !c.receivedAny && c.server.Clock.Now()-c.idleSince > newConnGracePeriod:
+	case !c.receivedAny && now-c.idleSince > newConnGracePeriod:
 		return c.idleSince - firstMessageTimeout
+	case now < c.readBy:
+		return c.readBy
 	}
 	return c.idleSince
 }
--- a/internal/msgpackrpc/client.go
+++ b/internal/msgpackrpc/client.go
@@ -46,9 +46,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewClient(conn), nil
+}
+
+// NewClient returns a client on a connection, which it owns.
+func NewClient(conn net.Conn) *Client {
 	c := &Client{conn: conn, openCalls: map[uint64]chan result{}}
 	go c.read()
-	return c, nil
+	return c
 }
 
 // Close closes the connection. Its open calls fail with ErrClosed.
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -20,6 +20,7 @@
 	netConn       net.Conn             // owned; closed at the end of serve, or earlier to make serve return
 	queue         chan encodedResponse // closed by serve after all handlers have returned
 	reservedBytes int64                // for responses not yet written; guarded by Server.mu
+	progress      readProgress         // used only by the reader
 
 	mu                sync.Mutex              // guards the fields below
 	openRequests      map[uint64]*openRequest // by message id
@@ -28,6 +29,9 @@
 	awaitsLastMessage bool                    // the connection is to close; the reader waits for a message in transit
 	woken             bool                    // wake was called since awaitMessage last cleared this field
 	receivedAny       bool                    // a complete message has been received
+	bytesWritten      int64                   // of responses, to the socket
+	// readBy is the time in Unix milliseconds by which a client at minReadRate has read all responses written so far.
+	readBy float64
 	// idleSince is the time in Unix milliseconds when the connection was accepted, or when a message last arrived or a
 	// response was last queued or written.
 	idleSince float64
@@ -58,19 +62,23 @@
 	if errors.Is(err, errMalformed) {
 		c.server.recordFault(err)
 	}
-	if err != nil {
-		c.netConn.Close() // first, so that no response follows a malformed message
+	switch {
+	case errors.Is(err, errMalformed), errors.Is(err, os.ErrDeadlineExceeded):
+		c.close() // first, so that no response follows a malformed message
+	case err != nil: // the client has closed the connection, or another goroutine has
+		c.netConn.Close()
 	}
 	cancel()
 	handlers.Wait()
+	if err == nil && c.hasUnread() { // the client has stopped reading and must not delay the end
+		c.close()
+		err = errStalled
+	}
 	close(c.queue)
 	writer.Wait()
 	if err == nil {
 		c.linger()
 	}
-	if sendqueue.Unacknowledged(c.netConn) > 0 {
-		c.server.recordUnreadClose()
-	}
 	c.netConn.Close()
 }
 
@@ -92,7 +100,7 @@
 }
 
 // read reads and handles messages. It returns nil if the connection has no open requests and is to close, or has been
-// idle for too long.
+// idle for too long. The client then has all responses, or has stopped reading.
 func (c *conn) read(ctx context.Context, handlers *sync.WaitGroup) error {
 	reader := bufio.NewReaderSize(c.netConn, readBufferSize)
 	for {
@@ -132,8 +140,9 @@
 	return m, err
 }
 
-// awaitMessage sets the read deadline for the start of the next message. If the connection is to close and no request
-// is open, closesAfterWait is true and the deadline is short: it only allows for messages already in transit. If wake
+// awaitMessage sets the read deadline for the start of the next message. If the connection is to close, no request is
+// open and the client has all responses, closesAfterWait is true and the deadline is short: it only allows for messages
+// already in transit. While the client still reads responses, the deadline is that of the next check. If wake
 // is called while awaitMessage runs, awaitMessage keeps the expired deadline that wake set. The read then fails
 // immediately, and the reader calls awaitMessage again.
 func (c *conn) awaitMessage() (closesAfterWait bool) {
@@ -144,16 +153,20 @@
 	c.mu.Unlock()
 	isClosing := c.server.closesConnections()
 	isRejecting := c.server.rejectsRequests()
+	isBeingRead := isClosing && c.isBeingRead()
 	testHookAwait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.woken {
 		return false
 	}
-	closesAfterWait = isClosing && len(c.openRequests) == 0
+	canClose := isClosing && len(c.openRequests) == 0
+	closesAfterWait = canClose && !isBeingRead
 	c.awaitsLastMessage = closesAfterWait
 	timeout := c.allowedIdleTime()
 	switch {
+	case canClose && isBeingRead:
+		timeout = unreadPollInterval
 	case closesAfterWait && isRejecting:
 		timeout = rejectingDrainTimeout
 	case closesAfterWait:
@@ -198,17 +211,22 @@
 	return firstMessageTimeout
 }
 
-// isIdleTooLong reports whether the connection has been idle for at least its allowed idle time.
+// isIdleTooLong reports whether the connection has been idle for at least its allowed idle time, and the client takes no
+// responses.
 func (c *conn) isIdleTooLong() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	isIdle := len(c.openRequests) == 0 && c.unsentResponses == 0
-	return isIdle && c.server.Clock.Now()-c.idleSince >= c.allowedIdleTime()
+	isIdle := len(c.openRequests) == 0 && c.unsentResponses == 0 &&
+		c.server.Clock.Now()-c.idleSince >= c.allowedIdleTime()
+	c.mu.Unlock()
+	return isIdle && !c.isBeingRead()
 }
 
 // hasPendingResponse reports whether a request is open, or a response is not written yet and idleSince is less than
-// readTimeout milliseconds ago.
+// readTimeout milliseconds ago, or the client's system has not acknowledged all responses.
 func (c *conn) hasPendingResponse(readTimeout float64) bool {
+	if sendqueue.Unacknowledged(c.netConn) > 0 {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.openRequests) > 0 {
@@ -250,9 +268,11 @@
 	for response := range c.queue {
 		if !failed {
 			c.netConn.SetWriteDeadline(clock.Deadline(writeTimeout))
-			if _, err := response.parts.WriteTo(c.netConn); err != nil {
+			n, err := response.parts.WriteTo(c.netConn)
+			c.recordWritten(n)
+			if err != nil {
 				failed = true
-				c.netConn.Close()
+				c.close()
 			}
 		}
 		c.server.reserveResponse(c, -response.reservedSize)
--- a/internal/msgpackrpc/drain.go
+++ b/internal/msgpackrpc/drain.go
@@ -66,7 +66,7 @@
 			if !isGracePeriodOver && c.hasPendingResponse(s.ResponseReadTimeout) {
 				return false
 			}
-			c.netConn.Close()
+			c.close()
 			return true
 		})
 		if len(open) == 0 {
--- a/internal/msgpackrpc/handler.go
+++ b/internal/msgpackrpc/handler.go
@@ -107,7 +107,7 @@
 	}
 	if err := c.respond(id, response); err != nil {
 		c.server.recordFault(err)
-		c.netConn.Close()
+		c.close()
 	}
 }
 
--- a/lab/process/deployment.go
+++ b/lab/process/deployment.go
@@ -33,6 +33,8 @@
 	// ResponseDelay is how long an edge cache waits before it responds. Parents and the origin wait upstreamDelayFactor
 	// times as long.
 	ResponseDelay time.Duration
+	// BodySize is the size of all bodies in bytes. 0: sizes vary, as those of cache.Body, which RunLoad expects.
+	BodySize int
 	// RouterBinary is the path of the router binary. Empty: Start builds it.
 	RouterBinary string
 	// ExtraFlags are added to the command line of each router.
--- a/lab/process/servers.go
+++ b/lab/process/servers.go
@@ -57,6 +57,7 @@
 		Addr:       addr,
 		IsOrigin:   kind == kindOrigin,
 		Delay:      d.options.ResponseDelay,
+		BodySize:   d.options.BodySize,
 		FindServer: d.serverByName,
 		RequestLog: d.RequestLog,
 	}
--- a/standin/cache/response.go
+++ b/standin/cache/response.go
@@ -1,6 +1,7 @@
 package cache
 
 import (
+	"bytes"
 	"fmt"
 	"hash/fnv"
 	"strconv"
@@ -152,7 +153,11 @@
 	if result.status != cacheHit {
 		fields += ",slow=" + strconv.FormatInt(time.Since(startedAt).Milliseconds(), 10)
 	}
-	return [][]byte{id, []byte(statusOK), []byte(fields), Body(request.Object, request.Chunk)}
+	body := Body(request.Object, request.Chunk)
+	if s.options.BodySize > 0 {
+		body = bytes.Repeat(body, s.options.BodySize/len(body)+1)[:s.options.BodySize]
+	}
+	return [][]byte{id, []byte(statusOK), []byte(fields), body}
 }
 
 // emptyResponse returns the parts of a response without fields and body.
--- a/standin/cache/server.go
+++ b/standin/cache/server.go
@@ -28,6 +28,8 @@
 	// Delay is the time from the arrival of a request to its response. A fill adds the Delay of the server to fill
 	// from.
 	Delay time.Duration
+	// BodySize is the size of all bodies in bytes. Each repeats the result of Body. 0: bodies are the result of Body.
+	BodySize int
 	// FindServer returns the server with a name, to fill a miss from, or nil if there is none. A nil function means
 	// that misses are not filled. It is called from several goroutines at once.
 	FindServer func(name string) *Server
