--- a/cmd/spantack/deployment_test.go
+++ b/cmd/spantack/deployment_test.go
@@ -38,7 +38,7 @@
 	options  deploymentOptions
 	cmd      *exec.Cmd
 	listen   string
-	stderr   *bytes.Buffer
+	stderr   *logBuffer
 	requests *caches.RequestLog
 	origin   *caches.Server
 	caches   []*caches.Server
@@ -58,7 +58,7 @@
 		t:        t,
 		options:  options,
 		listen:   loopback.FreeAddress(),
-		stderr:   &bytes.Buffer{},
+		stderr:   &logBuffer{},
 		requests: caches.NewRequestLog(),
 		exited:   make(chan error, 1),
 	}
@@ -178,7 +178,7 @@
 			d.t.Errorf("the router exited with %v; log: %s", err, d.stderr)
 		}
 	case <-time.After(awaitLimit):
-		d.t.Fatal("the router did not exit after SIGTERM")
+		d.t.Fatalf("the router did not exit after SIGTERM; %s", d.describeHang())
 	}
 	testwait.Until(d.t, "the end of all connections to the caches", func() bool {
 		for _, cache := range d.caches {
@@ -190,6 +190,21 @@
 	})
 }
 
+// describeHang returns what the router's process does: its state according to the system, and its log with the stacks of
+// all goroutines, which SIGQUIT makes it write before it exits.
+func (d *deployment) describeHang() string {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	if err != nil {
+		return "its process has ended: " + err.Error()
+	}
+	d.signal(syscall.SIGQUIT)
+	select {
+	case <-d.exited:
+	case <-time.After(awaitLimit):
+	}
+	return fmt.Sprintf("process: %s; log: %s", status, d.stderr)
+}
+
 // clientConn is a client's connection to the router.
 type clientConn struct {
 	*net.TCPConn
