--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -70,7 +70,7 @@
 	}
 	cancel()
 	handlers.Wait()
-	if err == nil && c.hasUnread() { // the client has stopped reading and must not delay the end
+	if err == nil && sendqueue.Unsent(c.netConn) > 0 { // the client has stopped reading and must not delay the end
 		c.close()
 		err = errStalled
 	}
@@ -109,7 +109,7 @@
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
 			}
-			if closesAfterWait || c.isIdleTooLong() {
+			if closesAfterWait && c.canClose() || c.isIdleTooLong() {
 				return nil
 			}
 			continue
@@ -141,8 +141,8 @@
 }
 
 // awaitMessage sets the read deadline for the start of the next message. If the connection is to close, no request is
-// open and the client has all responses, closesAfterWait is true and the deadline is short: it only allows for messages
-// already in transit. While the client still reads responses, the deadline is that of the next check. If wake
+// open and no response waits for the client in the socket, closesAfterWait is true and the deadline is short: it only
+// allows for messages already in transit. While the client is reading, the deadline is that of the next check. If wake
 // is called while awaitMessage runs, awaitMessage keeps the expired deadline that wake set. The read then fails
 // immediately, and the reader calls awaitMessage again.
 func (c *conn) awaitMessage() (closesAfterWait bool) {
@@ -153,19 +153,19 @@
 	c.mu.Unlock()
 	isClosing := c.server.closesConnections()
 	isRejecting := c.server.rejectsRequests()
-	isBeingRead := isClosing && c.isBeingRead()
+	isBeingRead := isClosing && c.checkReading() == reading
 	testHookAwait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.woken {
 		return false
 	}
-	canClose := isClosing && len(c.openRequests) == 0
-	closesAfterWait = canClose && !isBeingRead
+	hasNoRequest := isClosing && len(c.openRequests) == 0
+	closesAfterWait = hasNoRequest && !isBeingRead
 	c.awaitsLastMessage = closesAfterWait
 	timeout := c.allowedIdleTime()
 	switch {
-	case canClose && isBeingRead:
+	case hasNoRequest && isBeingRead:
 		timeout = unreadPollInterval
 	case closesAfterWait && isRejecting:
 		timeout = rejectingDrainTimeout
@@ -218,13 +218,13 @@
 	isIdle := len(c.openRequests) == 0 && c.unsentResponses == 0 &&
 		c.server.Clock.Now()-c.idleSince >= c.allowedIdleTime()
 	c.mu.Unlock()
-	return isIdle && !c.isBeingRead()
+	return isIdle && c.checkReading() != reading
 }
 
 // hasPendingResponse reports whether a request is open, or a response is not written yet and idleSince is less than
-// readTimeout milliseconds ago, or the client's system has not acknowledged all responses.
+// readTimeout milliseconds ago, or responses wait for the client in the socket.
 func (c *conn) hasPendingResponse(readTimeout float64) bool {
-	if sendqueue.Unacknowledged(c.netConn) > 0 {
+	if sendqueue.Unsent(c.netConn) > 0 {
 		return true
 	}
 	c.mu.Lock()
--- a/internal/msgpackrpc/unread.go
+++ b/internal/msgpackrpc/unread.go
@@ -25,19 +25,28 @@
 // errStalled is the reason for closing a connection whose client does not take its responses.
 var errStalled = errors.New("client does not read its responses")
 
+// readState is what a client does with the responses that wait for it in the socket.
+type readState int
+
+const (
+	nothingToRead readState = iota // all responses that were written are at the client's system
+	reading                        // the client takes them
+	stalled                        // the client has stopped taking them
+)
+
 // readProgress tracks whether a client takes its responses, from checks at irregular times. The zero value has no check.
 type readProgress struct {
-	startedAt float64 // of the first check since the client last had all responses; Unix milliseconds, 0: none
-	taken     int64   // most bytes of responses that the client's system has acknowledged
+	startedAt float64 // of the first check since nothing waited for the client; Unix milliseconds, 0: none
+	taken     int64   // most bytes of responses that were sent to the client's system
 	takenAt   float64 // of the check that found more bytes taken than before; Unix milliseconds
 }
 
-// record records a check at the time now. It reports whether the client has responses to take and still takes them:
-// within readStallTimeout it took some, and it has needed less than maxUnreadTime so far.
-func (p *readProgress) record(now float64, hasUnread bool, taken int64) (isReading bool) {
-	if !hasUnread {
+// record records a check at the time now. A client that takes nothing for readStallTimeout is stalled, and so is one that
+// has needed maxUnreadTime so far.
+func (p *readProgress) record(now float64, hasUnsent bool, taken int64) readState {
+	if !hasUnsent {
 		*p = readProgress{}
-		return false
+		return nothingToRead
 	}
 	if p.startedAt == 0 {
 		*p = readProgress{startedAt: now, taken: taken, takenAt: now}
@@ -46,29 +55,44 @@
 		p.taken = taken
 		p.takenAt = now
 	}
-	return now-p.takenAt < readStallTimeout && now-p.startedAt < maxUnreadTime
+	if now-p.takenAt < readStallTimeout && now-p.startedAt < maxUnreadTime {
+		return reading
+	}
+	return stalled
 }
 
-// isBeingRead reports whether the client still takes responses that it does not have yet. Only the reader calls it.
+// checkReading returns the read state of the client. Only the reader calls it.
 //
-// The server may close a connection only after that. Until then the client has not read the end of the stream and may
-// send further requests, which need responses. If the socket were closed, they would reset the connection, and the
-// system would discard what is left in the send queue.
-func (c *conn) isBeingRead() bool {
+// The server must not close a connection while its client is reading. Until the client has read the end of the stream, it
+// may send further requests, which need responses. If the socket were closed, they would reset the connection, and the
+// system would discard what is left in the send queue. Bytes that were sent arrive before the reset, so they need no wait
+// for an acknowledgment, which systems delay by up to 40 ms.
+func (c *conn) checkReading() readState {
 	c.mu.Lock()
 	written := c.bytesWritten
-	hasUnsent := c.unsentResponses > 0
 	c.mu.Unlock()
-	unacknowledged := sendqueue.Unacknowledged(c.netConn)
-	return c.progress.record(c.server.Clock.Now(), hasUnsent || unacknowledged > 0, written-unacknowledged)
+	unsent := sendqueue.Unsent(c.netConn)
+	return c.progress.record(c.server.Clock.Now(), unsent > 0, written-unsent)
+}
+
+// canClose reports whether the reader may end, after the wait for messages in transit: each response has been written and
+// sent, or the client has stopped reading.
+func (c *conn) canClose() bool {
+	switch c.checkReading() {
+	case reading:
+		return false
+	case stalled:
+		return true
+	}
+	return !c.hasUnread()
 }
 
-// hasUnread reports whether a response is not written completely, or not acknowledged by the client's system.
+// hasUnread reports whether a response is not written completely, or not sent to the client's system.
 func (c *conn) hasUnread() bool {
 	c.mu.Lock()
-	hasUnsent := c.unsentResponses > 0
+	hasUnwritten := c.unsentResponses > 0
 	c.mu.Unlock()
-	return hasUnsent || sendqueue.Unacknowledged(c.netConn) > 0
+	return hasUnwritten || sendqueue.Unsent(c.netConn) > 0
 }
 
 // recordWritten records n bytes of responses that were written to the socket.
