--- a/internal/msgpackrpc/unread.go
+++ b/internal/msgpackrpc/unread.go
@@ -36,20 +36,23 @@
 
 // readProgress tracks whether a client takes its responses, from checks at irregular times. The zero value has no check.
 type readProgress struct {
-	startedAt float64 // of the first check since nothing waited for the client; Unix milliseconds, 0: none
-	taken     int64   // most bytes of responses that were sent to the client's system
-	takenAt   float64 // of the check that found more bytes taken than before; Unix milliseconds
+	startedAt  float64 // of the first check that found the present backlog; Unix milliseconds, 0: none
+	backlogEnd int64   // bytes of responses that were written then; the backlog ends when the client has taken them
+	taken      int64   // most bytes of responses that were sent to the client's system
+	takenAt    float64 // of the check that found more bytes taken than before; Unix milliseconds
 }
 
-// record records a check at the time now. A client that takes nothing for readStallTimeout is stalled, and so is one that
-// has needed maxUnreadTime so far.
-func (p *readProgress) record(now float64, hasUnsent bool, taken int64) readState {
-	if !hasUnsent {
+// record records a check at the time now, with the bytes of responses that were written to the socket so far and those of
+// them that are unsent. A client that takes nothing for readStallTimeout is stalled, and so is one that has needed
+// maxUnreadTime for a backlog.
+func (p *readProgress) record(now float64, written, unsent int64) readState {
+	if unsent == 0 {
 		*p = readProgress{}
 		return nothingToRead
 	}
-	if p.startedAt == 0 {
-		*p = readProgress{startedAt: now, taken: taken, takenAt: now}
+	taken := written - unsent
+	if p.startedAt == 0 || taken >= p.backlogEnd {
+		*p = readProgress{startedAt: now, backlogEnd: written, taken: taken, takenAt: now}
 	}
 	if taken > p.taken {
 		p.taken = taken
@@ -71,8 +74,7 @@
 	c.mu.Lock()
 	written := c.bytesWritten
 	c.mu.Unlock()
-	unsent := sendqueue.Unsent(c.netConn)
-	return c.progress.record(c.server.Clock.Now(), unsent > 0, written-unsent)
+	return c.progress.record(c.server.Clock.Now(), written, sendqueue.Unsent(c.netConn))
 }
 
 // canClose reports whether the reader may end, after the wait for messages in transit: each response has been written and
--- a/internal/msgpackrpc/unread_test.go
+++ b/internal/msgpackrpc/unread_test.go
@@ -178,31 +178,42 @@
 }
 
 // Guards against a client that takes a byte now and then and holds its connection for ever, and against one at the
-// slowest rate of the platform that counts as stalled.
+// slowest rate of the platform, or with one backlog after another, that counts as stalled.
 func TestReadProgress(t *testing.T) {
-	const start, step = 1_764_576_000_000.0, readStallTimeout / 2
+	const (
+		start   = 1_764_576_000_000.0
+		step    = readStallTimeout / 2
+		backlog = 2 * maxUnreadTime * minReadRate // more than a client at minReadRate reads in maxUnreadTime
+	)
 	for _, test := range []struct {
 		name  string
-		taken func(check int) int64 // bytes
-		want  float64               // milliseconds for which the client counts as reading
+		taken func(check int64) int64 // bytes
+		want  float64                 // milliseconds for which the client counts as reading
 	}{
-		{"stalled", func(int) int64 { return 5 }, readStallTimeout},
-		{"a byte each time", func(check int) int64 { return int64(check) }, maxUnreadTime},
-		{"slowest rate", func(check int) int64 { return int64(check) * step * minReadRate }, maxUnreadTime},
-		{"stalled after a while", func(check int) int64 { return int64(min(check, 10)) }, 10*step + readStallTimeout},
+		{"takes nothing", func(int64) int64 { return 5 }, readStallTimeout},
+		{"a byte each time", func(check int64) int64 { return check }, maxUnreadTime},
+		{"slowest rate", func(check int64) int64 { return check * step * minReadRate }, maxUnreadTime},
+		{"stops after a while", func(check int64) int64 { return min(check, 10) }, 10*step + readStallTimeout},
 	} {
 		var progress readProgress
 		now := start
-		for check := 0; progress.record(now, true, test.taken(check)) == reading; check++ {
+		for check := int64(0); progress.record(now, backlog, backlog-test.taken(check)) == reading; check++ {
 			now += step
 		}
 		if now-start != test.want {
 			t.Errorf("%s: counts as reading for %v ms, want %v", test.name, now-start, test.want)
 		}
-		if progress.record(now, false, 0) != nothingToRead || progress.record(now, true, 0) != reading {
+		if progress.record(now, backlog, 0) != nothingToRead || progress.record(now, backlog+1, 1) != reading {
 			t.Errorf("%s: a client that has read all and gets another response does not start anew", test.name)
 		}
 	}
+	var progress readProgress
+	for check := int64(1); check < 100; check++ { // a new backlog of one response at each check
+		now := start + float64(check)*step
+		if state := progress.record(now, check*largeBody+largeBody/2, largeBody/2); state != reading {
+			t.Fatalf("check %d: a client that takes each backlog counts as %v", check, state)
+		}
+	}
 }
 
 // Guards against the eviction of a connection whose client may still be reading, while another is idle. If all may be
