lab/process: two tests that took another verdict beside load

Cause of the first, which is new: the count of served requests depends on how many a starved router rejects. It now waits until no request is open and some were served; what it checks, the time of the exit, is unchanged.

Cause of the second: its load sends by the clock without a bound. The load is bounded to 32 in flight; all checks stay as they are.

--- a/lab/process/admin_test.go
+++ b/lab/process/admin_test.go
@@ -17,6 +17,9 @@
 	"spantack/standin/cache"
 )
 
+// maxOpenPerConn is the number of requests that the protocol allows to be open on one connection.
+const maxOpenPerConn = 32
+
 // logTimeLayout is the layout of times in the test log.
 const logTimeLayout = "15:04:05.000000"
 
@@ -177,6 +180,7 @@
 		Requests:         requests,
 		Interval:         500 * time.Microsecond,
 		ConnsPerRouter:   2,
+		MaxInFlight:      maxOpenPerConn, // on a busy machine more would be open on a connection than the protocol allows
 		Families:         2,
 		ObjectsPerFamily: 100,
 	})
--- a/lab/process/slowreaders_test.go
+++ b/lab/process/slowreaders_test.go
@@ -124,8 +124,9 @@
 			}()
 		}
 	}
-	waitUntil(t, "most requests to be served", func() bool {
-		return readMetrics(t, r)["app.results."+classVideo+".succeeded"] >= clients
+	waitUntil(t, "requests to be served, and none to be open", func() bool { // some are rejected, more on a busy machine
+		metrics := readMetrics(t, r)
+		return metrics["app.results."+classVideo+".succeeded"] > 0 && metrics["app.outstanding"] == 0
 	})
 	watch := testwait.StartStopwatch()
 	signal(t, r, syscall.SIGTERM)
