--- a/review/harness-2/board.go
+++ b/review/harness-2/board.go
@@ -27,6 +27,7 @@
 	listener net.Listener
 
 	mu      sync.Mutex
+	conns   []net.Conn
 	frames  [][]byte
 	changed chan struct{}
 	// writeFrame, if set, writes a frame in place of one plain write.
@@ -99,6 +100,32 @@
 	b.add(3, binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, object), uint64(at)))
 }
 
+// successor returns a notice board at another address that goes on with the numbers of this one.
+func (b *board) successor() (*board, error) {
+	next, err := newBoard(b.rec)
+	if err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	next.frames = append(next.frames, b.frames...)
+	return next, nil
+}
+
+// retire makes the board accept no new connection, and close the open ones after a time.
+func (b *board) retire(after time.Duration) {
+	b.listener.Close()
+	time.AfterFunc(after, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, conn := range b.conns {
+			conn.Close()
+		}
+	})
+}
+
 // slow makes the board write its later frames with write.
 func (b *board) slow(write func(conn net.Conn, frame []byte) error) {
 	b.mu.Lock()
@@ -112,6 +139,9 @@
 	if _, err := io.ReadFull(conn, last[:]); err != nil {
 		return
 	}
+	b.mu.Lock()
+	b.conns = append(b.conns, conn)
+	b.mu.Unlock()
 	sent := int(binary.BigEndian.Uint64(last[:]))
 	b.rec.log("board: asked for events after %d", sent)
 	gone := make(chan struct{})
