--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -210,9 +210,9 @@
 	}
 }
 
-func (q *call) wait(limit time.Duration) {
+func (c *call) wait(limit time.Duration) {
 	select {
-	case <-q.done:
+	case <-c.done:
 	case <-time.After(limit):
 	}
 }
