--- a/cmd/spantack/counters.go
+++ b/cmd/spantack/counters.go
@@ -64,6 +64,7 @@
 		Int64("overdue", n.Overdue.Load()).
 		Int64("faults", n.Faults.Load()).
 		Int64("client_faults", clients.Faults).
+		Int("server_faults", p.pools.Faults()).
 		Int64("gave_way", clients.EvictedConns).
 		Int64("turned_away", clients.RejectedConns).
 		Int64("unread_closes", clients.UnreadCloses).
--- a/internal/resp/codec_test.go
+++ b/internal/resp/codec_test.go
@@ -84,9 +84,9 @@
 	}{
 		{[]string{"a", "OK", "sum=1f,t0=1764576000123,n=TCP_MISS_ROOT,slow=41.5", "bytes"},
 			router.AttemptResult{Outcome: routing.OutcomeServed, CacheStatus: 3, SourceWait: 41.5,
-				Body: []byte("bytes"), CopyMadeAt: 1764576000123}},
-		{[]string{"a", "SAME", "n=TCP_HIT", ""},
-			router.AttemptResult{Outcome: routing.OutcomeServed, CacheStatus: 1, NotModified: true}},
+				Body: []byte("bytes"), ETag: "1f", CopyMadeAt: 1764576000123}},
+		{[]string{"a", "SAME", "n=TCP_HIT,sum=2e", ""},
+			router.AttemptResult{Outcome: routing.OutcomeServed, CacheStatus: 1, NotModified: true, ETag: "2e"}},
 		{[]string{"a", "MISS", "n=PEER_DEAD,slow=800", ""},
 			router.AttemptResult{Outcome: routing.OutcomeMiss, CacheStatus: 7, SourceWait: 800}},
 		{[]string{"a", "BUSY", "n=PEER_DENY", "why"},
--- a/internal/resp/pools.go
+++ b/internal/resp/pools.go
@@ -56,7 +56,7 @@
 	options    Options                // only MaxSendDelay changes; the others are read without the lock
 	servers    map[string]*serverPool // by id; only those on the endpoint list
 	connCount  int                    // connections open and being dialed
-	faultCount int                    // malformed responses, and dials that failed for lack of descriptors
+	faultCount int                    // malformed or contradicting responses, and dials that failed for lack of descriptors
 	faultLog   ratelog.Limiter
 }
 
@@ -180,6 +180,13 @@
 // AttemptsWritten returns the number of attempts that were written to servers in full.
 func (p *Pools) AttemptsWritten() int64 { return p.attemptsWritten.Load() }
 
+// Faults returns the number of malformed or contradicting responses, and of dials that failed for lack of descriptors.
+func (p *Pools) Faults() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faultCount
+}
+
 // recordFault counts a fault of a server or of the system, and logs at most one per ratelog.Interval. p.mu is held.
 func (p *Pools) recordFault(server *serverPool, err error) {
 	p.faultCount++
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -60,8 +60,8 @@
 	defer pools.mu.Unlock()
 	now := pools.clock.Now()
 	if a := c.attempts[id]; a != nil && a.writeStarted && a.delayedResult == nil {
-		if result.NotModified && a.attempt.ClientETag == "" { // responses can't be matched any more
-			return fmt.Errorf("%w: SAME for a request without an ETag", errMalformed)
+		if err := a.checkNotModified(result); err != nil { // responses can't be matched any more
+			return err
 		}
 		if a.canMatch(result, now) {
 			c.endWithResponse(a, result)
@@ -73,6 +73,21 @@
 	return nil
 }
 
+// checkNotModified returns an error that wraps errMalformed if a response calls another copy current than the one whose
+// ETag the client sent, or does not name the copy. The client could not tell such a response from a valid one.
+func (a *pendingAttempt) checkNotModified(result router.AttemptResult) error {
+	switch {
+	case !result.NotModified:
+		return nil
+	case a.attempt.ClientETag == "":
+		return fmt.Errorf("%w: SAME for a request without an ETag", errMalformed)
+	case result.ETag != a.attempt.ClientETag:
+		return fmt.Errorf("%w: SAME with sum=%.20q for a request with cached=%.20q", errMalformed, result.ETag,
+			a.attempt.ClientETag)
+	}
+	return nil
+}
+
 // canMatch reports whether a response can be the attempt's own. A copy older than the attempt's MaxAge belongs to an
 // earlier attempt of the same id; the attempt's own response is still to come. Pools.mu is held.
 func (a *pendingAttempt) canMatch(result router.AttemptResult, now float64) bool {
--- a/internal/resp/response.go
+++ b/internal/resp/response.go
@@ -97,7 +97,7 @@
 }
 
 // parseFields parses the name=value pairs of a response and stores them in the result: the cache status (n), the load
-// report (l), the time at which the origin issued the copy (t0) and the wait for the source (slow).
+// report (l), the ETag of the copy (sum), the time at which the origin issued it (t0) and the wait for the source (slow).
 func parseFields(result *router.AttemptResult, fields string) error {
 	for pair := range strings.SplitSeq(fields, ",") {
 		name, value, _ := strings.Cut(pair, "=")
@@ -110,6 +110,8 @@
 			result.CacheStatus = status
 		case "l":
 			result.LoadReport = value // parsed by the router, which knows the fields that the settings name
+		case "sum":
+			result.ETag = value
 		case "t0":
 			// An invalid value counts as absent: the field only adds a check (see canMatch).
 			if madeAt, err := strconv.ParseUint(value, 10, 53); err == nil {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -21,7 +21,8 @@
 	CacheStatus routing.CacheStatus // how the server got the copy, or why it has none
 	SourceWait  float64             // milliseconds that the server waited for Source; the module's UpstreamWait
 	Body        []byte
-	NotModified bool    // the client's own copy is current: no body
+	NotModified bool    // the client's own copy, whose ETag is ETag, is current: no body
+	ETag        string  // ETag of the copy; empty: not reported
 	LoadReport  string  // the server's load report as received, "NAME:VALUE;NAME:VALUE"; empty: none
 	CopyMadeAt  float64 // when the origin issued the copy, in Unix milliseconds; 0: not reported
 }
