A copy older than its request accepts is not passed on

Change: such an attempt ends as an error, and the fault is logged; the connection stays, since the response is the attempt's own. 50 ms, the protocol's slack, are allowed for the clocks. The age counts from the choice of the server, so a slow transfer doesn't make a copy old. Before the fix TestCopyOlderThanTheAgeLimitIsNotServed fails with: ended "done", want "err".

--- a/internal/resp/contradiction_test.go
+++ b/internal/resp/contradiction_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"fmt"
 	"testing"
 
 	"spantack/internal/router"
@@ -61,3 +62,40 @@
 		}
 	}
 }
+
+// Guards against copies that are too old for their request: a client can't tell their age. The attempt must fail, and
+// the connection must stay usable. Without an age limit or a time of the copy, there is nothing to compare.
+func TestCopyOlderThanTheAgeLimitIsNotServed(t *testing.T) {
+	const sentAt = 1000 // time of the fake clock
+	for _, test := range []struct {
+		maxAge, madeAt float64
+		want           routing.AttemptOutcome
+	}{
+		{400, sentAt - 400, routing.OutcomeServed},
+		{400, sentAt - 400 - maxClockOffset, routing.OutcomeServed},
+		{400, sentAt - 401 - maxClockOffset, routing.OutcomeError},
+		{400, 1, routing.OutcomeError},
+		{400, sentAt + 3000, routing.OutcomeServed}, // the origin issued it while the attempt waited for a fill
+		{0, 1, routing.OutcomeServed},
+		{400, 0, routing.OutcomeServed},
+	} {
+		for _, word := range []string{"OK", "SAME"} {
+			t.Run(fmt.Sprintf("%s max=%v made=%v", word, test.maxAge, test.madeAt), func(t *testing.T) {
+				server := listen(t)
+				pools, fake := newPools(t, server.addr())
+				request := &router.Request{ID: "a", ClientETag: "4be0c1927d55a6f3"}
+				pending, conn := sendWith(pools, server, router.Attempt{Request: request, MaxAge: test.maxAge})
+				fake.Advance(2000) // a slow transfer doesn't make the copy too old
+				conn.respond("a", word, fmt.Sprintf("sum=4be0c1927d55a6f3,t0=%.0f", test.madeAt), "bytes")
+				result := wantOutcome(t, pending, test.want)
+				if test.want == routing.OutcomeError && (result.Body != nil || result.NotModified) {
+					t.Errorf("failed with content: %+v", result)
+				}
+				next := send(pools, "b")
+				conn.expect("GET b")
+				conn.respond("b", "OK", "-", "more")
+				wantOutcome(t, next, routing.OutcomeServed)
+			})
+		}
+	}
+}
--- a/internal/resp/pools.go
+++ b/internal/resp/pools.go
@@ -37,6 +37,7 @@
 	// maxSilence is the time without a response after which a connection is closed if its only attempt is canceled.
 	maxSilence        = 250
 	stallTimeout      = 1000    // maximum time between two bytes of a response
+	maxClockOffset    = 50      // between the clocks of the router and of the origin; the protocol's slack of times
 	readBufferSize    = 4 << 10 // bytes
 	maxConnsPerServer = 24      // connections to one server before attempts share them
 )
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -64,7 +64,7 @@
 			return err
 		}
 		if a.canMatch(result, now) {
-			c.endWithResponse(a, result)
+			c.endWithResponse(a, a.rejectTooOld(result))
 		}
 	}
 	c.lastResponseAt = now
@@ -88,6 +88,25 @@
 	return nil
 }
 
+// rejectTooOld returns the result, or OutcomeError in its place if its copy is older than the attempt's MaxAge allows.
+// It records a fault then. Pools.mu is held.
+func (a *pendingAttempt) rejectTooOld(result router.AttemptResult) router.AttemptResult {
+	if !a.isTooOld(result) {
+		return result
+	}
+	excess := a.chosenAt - result.CopyMadeAt - a.attempt.MaxAge
+	a.pools.recordFault(a.conn.pool, fmt.Errorf("copy is %.0f ms older than the age limit of its request", excess))
+	return router.AttemptResult{Outcome: routing.OutcomeError, LoadReport: result.LoadReport}
+}
+
+// isTooOld reports whether a served copy was already older than the attempt's MaxAge when its server was chosen.
+func (a *pendingAttempt) isTooOld(result router.AttemptResult) bool {
+	if result.Outcome != routing.OutcomeServed || result.CopyMadeAt == 0 || a.attempt.MaxAge == 0 {
+		return false
+	}
+	return a.chosenAt-result.CopyMadeAt > a.attempt.MaxAge+maxClockOffset
+}
+
 // canMatch reports whether a response can be the attempt's own. A copy older than the attempt's MaxAge belongs to an
 // earlier attempt of the same id; the attempt's own response is still to come. Pools.mu is held.
 func (a *pendingAttempt) canMatch(result router.AttemptResult, now float64) bool {
--- a/internal/resp/response.go
+++ b/internal/resp/response.go
@@ -113,7 +113,7 @@
 		case "sum":
 			result.ETag = value
 		case "t0":
-			// An invalid value counts as absent: the field only adds a check (see canMatch).
+			// An invalid value counts as absent: the field only adds checks (see canMatch and isTooOld).
 			if madeAt, err := strconv.ParseUint(value, 10, 53); err == nil {
 				result.CopyMadeAt = float64(madeAt)
 			}
--- a/standin/cache/request.go
+++ b/standin/cache/request.go
@@ -15,7 +15,7 @@
 	Chunk        string
 	FillFrom     string    // name of the server to fill a miss from; empty: misses are not filled
 	CachedOnly   bool      // the server to fill from must use a cached copy, not the origin
-	MaxAgeMillis int64     // maximum age of an acceptable copy; 0: no limit. The server does not enforce it.
+	MaxAgeMillis int64     // maximum age of an acceptable copy; 0: no limit
 	ArrivedAt    time.Time // when the kernel received the last bytes of the request
 }
 
@@ -42,3 +42,8 @@
 	}
 	return request
 }
+
+// allows reports whether the request accepts a copy of the given age.
+func (r Request) allows(age time.Duration) bool {
+	return r.MaxAgeMillis == 0 || age <= time.Duration(r.MaxAgeMillis)*time.Millisecond
+}
--- a/standin/cache/response.go
+++ b/standin/cache/response.go
@@ -165,8 +165,8 @@
 	return [][]byte{[]byte(id), []byte(status), []byte(noFields)}
 }
 
-// lookup returns when the origin served the copy that this server has, and whether there is a copy. The origin always
-// has one, created at the time of the call.
+// lookup returns when the origin served the copy that this server has, and whether there is a copy that is not older than
+// the request allows. The origin always has one, created at the time of the call.
 func (s *Server) lookup(request Request) (createdAt time.Time, found bool) {
 	if s.options.IsOrigin {
 		return time.Now(), true
@@ -174,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	createdAt, found = s.createdAt[copyKey{request.Object, request.Chunk}]
-	return createdAt, found
+	return createdAt, found && request.allows(time.Since(createdAt))
 }
 
 // store records that the server has a copy. It does nothing for the origin, which always has one.
--- a/standin/cache/server_test.go
+++ b/standin/cache/server_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"spantack/internal/resp"
 	"spantack/internal/testwait"
@@ -124,3 +125,37 @@
 		t.Errorf("%d connections with unread bytes after the server resumed", unread)
 	}
 }
+
+// Guards against a server that serves a copy older than a request accepts: it must fill another one or report a miss.
+func TestOldCopiesAreNotServed(t *testing.T) {
+	const maxAgeMillis = 50
+	log := NewRequestLog()
+	origin, err := Listen(Options{ID: 1, IsOrigin: true, RequestLog: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(origin.Close)
+	edge, err := Listen(Options{ID: 2, FindServer: func(string) *Server { return origin }, RequestLog: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(edge.Close)
+	limited := fmt.Sprintf("asset=o,slice=1,agelim=%d", maxAgeMillis)
+	filled := limited + ",next=" + origin.Name()
+	conn := testwait.Dial(t, edge.Addr().String())
+	for _, step := range []struct {
+		name, fields, status, fieldsPrefix string
+		wait                               time.Duration
+	}{
+		{name: "no copy", fields: filled, status: "OK", fieldsPrefix: "n=TCP_MISS_ROOT,"},
+		{name: "old copy", fields: limited, wait: 2 * maxAgeMillis * time.Millisecond, status: "MISS", fieldsPrefix: "-"},
+		{name: "old copy without a limit", fields: "asset=o,slice=1", status: "OK", fieldsPrefix: "n=TCP_HIT,"},
+		{name: "old copy and a source", fields: filled, status: "OK", fieldsPrefix: "n=TCP_MISS_ROOT,"},
+	} {
+		time.Sleep(step.wait)
+		response := exchange(t, conn, step.fields)
+		if response[1] != step.status || !strings.HasPrefix(response[2], step.fieldsPrefix) {
+			t.Errorf("%s: response %q, want %s %s", step.name, response, step.status, step.fieldsPrefix)
+		}
+	}
+}
