--- a/cmd/spantack/build.go
+++ b/cmd/spantack/build.go
@@ -48,6 +48,7 @@
 		IdleTimeout:  c.IdleTimeout,
 		MaxStreams:   c.MaxStreams,
 		MaxConns:     limits.serverConns,
+		MaxBodyBytes: limits.bodyBytes,
 		MaxSendDelay: c.MaxSendDelay,
 	}, p.clock, p.log)
 	var err error
@@ -72,7 +73,7 @@
 		KeyRequired:    keyedClasses(p.config.Load()),
 		OnRejected:     p.router.CountRejected,
 		MaxConns:       limits.clientConns,
-		MaxQueuedBytes: int64(requestQueueShare * limits.memory),
+		MaxQueuedBytes: limits.queuedBytes,
 		Clock:          p.clock,
 		Log:            p.log,
 	}
--- a/cmd/spantack/counters.go
+++ b/cmd/spantack/counters.go
@@ -53,6 +53,7 @@
 func (p *process) logRequestCounters() {
 	n := &p.router.Counters
 	clients := p.server.Stats()
+	servers := p.pools.Stats()
 	heap := readHeapSize()
 	p.log.Info().
 		Int64("taken", n.Accepted.Load()).
@@ -64,11 +65,13 @@
 		Int64("overdue", n.Overdue.Load()).
 		Int64("faults", n.Faults.Load()).
 		Int64("client_faults", clients.Faults).
-		Int("server_faults", p.pools.Faults()).
+		Int("server_faults", servers.Faults).
 		Int64("gave_way", clients.EvictedConns).
 		Int64("turned_away", clients.RejectedConns).
 		Int64("unread_closes", clients.UnreadCloses).
 		Int64("reserved", clients.ReservedBytes).
+		Int64("bodies", servers.BodyBytes).
+		Int64("body_waits", servers.BodyWaits).
 		Uint64("heap_live", heap.live).
 		Uint64("heap_used", heap.used).
 		Msg("counters")
--- a/cmd/spantack/limits.go
+++ b/cmd/spantack/limits.go
@@ -3,24 +3,38 @@
 import (
 	"runtime/debug"
 
+	"spantack/internal/admin"
 	"spantack/internal/config"
+	"spantack/internal/msgpackrpc"
 	"spantack/internal/resp"
 )
 
-// Fractions of the memory limit, and the memory that a client connection counts as.
+// Fractions of the memory limit.
 const (
-	// heapShare bounds Go's heap. The rest of the memory is for stacks, buffers and the kernel.
+	// heapShare bounds the memory of Go's runtime: the heap, garbage included, and stacks. The rest is for the system's
+	// threads, for the program's data, and for garbage that the collector does not free in time.
 	heapShare = 0.7
-	// requestQueueShare bounds the memory of open requests and of responses that clients have not read yet.
-	requestQueueShare = 0.25
-	// responseBodyShare bounds the memory of responses that are being received from servers. Each connection receives
-	// at most one response at a time.
-	responseBodyShare = 0.35
+	// serverConnShare bounds the number of connections to servers: each counts as the largest response body.
+	serverConnShare = 0.35
 	// extraClientShare bounds the memory of client connections beyond those that clients can always have
-	// (clientDescriptorDivisor). Each connection counts as bytesPerClient.
+	// (clientDescriptorDivisor). Each connection counts as bytesPerExtraClient.
 	extraClientShare = 0.15
-	// bytesPerClient is the memory that a client connection counts as, in bytes.
-	bytesPerClient = 32 << 10
+	// maxClientShare bounds the memory of all client connections, in a process with many descriptors and little memory.
+	maxClientShare = 0.3
+	// requestQueueShare is the fraction of the variable memory for open requests. Responses that clients have not read
+	// yet count too. The rest is for response bodies, from their arrival until they are written to clients.
+	requestQueueShare = 0.5
+	// minVariableShare is the smallest fraction of the memory limit that is variable memory.
+	minVariableShare = 0.1
+)
+
+// Memory of parts of the process, in bytes.
+const (
+	// bytesPerExtraClient is the memory that a client connection counts as in extraClientShare.
+	bytesPerExtraClient = 32 << 10
+	// programBytes is the memory of the program without connections and requests: the decision module with its servers
+	// and objects, and the runtime.
+	programBytes = 3 << 20
 )
 
 // Parts of the descriptor limit.
@@ -40,6 +54,8 @@
 	memory      float64 // bytes
 	clientConns int
 	serverConns int
+	queuedBytes int64 // of open requests, and of responses that clients have not read yet
+	bodyBytes   int64 // of response bodies, from their arrival until they are written to clients
 }
 
 // newLimits returns the limits of this process according to the configuration, and sets the limit on Go's heap. A
@@ -53,17 +69,33 @@
 		descriptors /= 2
 	}
 	debug.SetMemoryLimit(int64(heapShare * memory))
-	clients, servers := divideDescriptors(descriptors, memory)
-	return processLimits{memory: memory, clientConns: clients, serverConns: servers}
+	return divideLimits(descriptors, memory)
+}
+
+// divideLimits divides a number of descriptors and a memory limit in bytes between the parts of the process.
+func divideLimits(descriptors int, memory float64) processLimits {
+	limits := processLimits{memory: memory}
+	limits.clientConns, limits.serverConns = divideDescriptors(descriptors, memory)
+	variable := max(heapShare*memory-limits.fixedBytes(), minVariableShare*memory)
+	limits.queuedBytes = int64(requestQueueShare * variable)
+	limits.bodyBytes = max(int64(variable)-limits.queuedBytes, resp.MaxBodySize)
+	return limits
+}
+
+// fixedBytes returns the memory of the parts that grow with the connections, but not with what is sent on them.
+func (l *processLimits) fixedBytes() float64 {
+	return float64(programBytes + l.clientConns*msgpackrpc.BytesPerConn + l.serverConns*resp.BytesPerConn +
+		admin.MaxConns*admin.BytesPerConn)
 }
 
 // divideDescriptors returns how many connections from clients and to servers are allowed with a number of descriptors
 // and a memory limit in bytes.
 func divideDescriptors(descriptors int, memory float64) (clients, servers int) {
-	clients = descriptors / clientDescriptorDivisor
-	bodies := int(responseBodyShare * memory / resp.MaxBodySize)
+	mostClients := int(maxClientShare * memory / msgpackrpc.BytesPerConn)
+	clients = min(descriptors/clientDescriptorDivisor, mostClients)
+	bodies := int(serverConnShare * memory / resp.MaxBodySize)
 	servers = max(min(descriptors-clients-reservedDescriptors, bodies), minServerConns)
-	extra := int(extraClientShare * memory / bytesPerClient)
+	extra := int(extraClientShare * memory / bytesPerExtraClient)
 	clients = max(clients, min(descriptors-servers-reservedDescriptors, extra))
 	return clients, servers
 }
--- a/cmd/spantack/limits_test.go
+++ b/cmd/spantack/limits_test.go
@@ -22,3 +22,20 @@
 		}
 	}
 }
+
+// Guards against parts of the process whose bounds together exceed its memory limit. The sum of all bounds must fit into
+// the share of Go's runtime, so that its collector has room, for any limits that the platform gives, and for each of the
+// two processes during a replacement. The sums are those of the table in docs/operation.md.
+func TestMemoryBoundsAddUp(t *testing.T) {
+	for _, descriptors := range []int{64, 128, 256, 512, 1024, 4096} {
+		for _, memoryMB := range []float64{16, 32, 64, 128, 192, 2048} {
+			memory := memoryMB * (1 << 20)
+			limits := divideLimits(descriptors, memory)
+			sum := limits.fixedBytes() + float64(limits.queuedBytes+limits.bodyBytes)
+			if sum > heapShare*memory {
+				t.Errorf("%v MB, %d descriptors: %.1f MB of bounds, want at most %.1f; %+v", memoryMB, descriptors,
+					sum/(1<<20), heapShare*memoryMB, limits)
+			}
+		}
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -21,6 +21,9 @@
 // MaxConns is the maximum number of open connections. Beyond it, a new connection closes the oldest.
 const MaxConns = 24
 
+// BytesPerConn is the memory of one connection, with the header and body of its call, its buffers and its stack.
+const BytesPerConn = 32 << 10
+
 // Times in milliseconds.
 const (
 	// readTimeout is how long a connection may take to send a complete call.
--- a/internal/msgpackrpc/capacity.go
+++ b/internal/msgpackrpc/capacity.go
@@ -1,6 +1,11 @@
 package msgpackrpc
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"spantack/internal/clock"
+)
 
 // admit registers a new connection and reports whether it is accepted. At MaxConns it evicts the connection that has
 // been idle for longest, so that clients with idle connections do not block others. If no connection is idle, the new
@@ -89,3 +94,31 @@
 	c.reservedBytes = connTotal
 	return true
 }
+
+// isMemoryScarce reports whether more than half of MaxQueuedBytes is reserved.
+func (s *Server) isMemoryScarce() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queuedBytes > s.MaxQueuedBytes/2
+}
+
+// awaitReservation reserves n bytes for a response. If they are not available, it waits for up to maxQueueWait, as long
+// as the client takes its responses. It reports whether the bytes were reserved.
+func (c *conn) awaitReservation(n int64) bool {
+	giveUpAt := c.server.Clock.Now() + maxQueueWait
+	for !c.server.reserveResponse(c, n) {
+		now := c.server.Clock.Now()
+		if now >= giveUpAt || !c.hasTakenSince(now-maxQueueWait) {
+			return false
+		}
+		time.Sleep(clock.Duration(queuePollInterval))
+	}
+	return true
+}
+
+// hasTakenSince reports whether a response, or part of one, was written after a time in Unix milliseconds.
+func (c *conn) hasTakenSince(at float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writtenAt > at
+}
--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -30,6 +30,7 @@
 	woken             bool                    // wake was called since awaitMessage last cleared this field
 	receivedAny       bool                    // a complete message has been received
 	bytesWritten      int64                   // of responses, to the socket
+	writtenAt         float64                 // when bytes of responses were last written, in Unix milliseconds; 0: never
 	// readBy is the time in Unix milliseconds by which a client at minReadRate has read all responses written so far.
 	readBy float64
 	// idleSince is the time in Unix milliseconds when the connection was accepted, or when a message last arrived or a
@@ -249,7 +250,7 @@
 		return nil
 	default:
 		c.addUnsentResponses(-1)
-		c.server.reserveResponse(c, -response.reservedSize)
+		c.release(response)
 		return fmt.Errorf("response queue full: %d responses not read by the client", maxQueuedResponses)
 	}
 }
@@ -262,20 +263,43 @@
 	c.idleSince = c.server.Clock.Now()
 }
 
+// release releases the memory of a response that was written or dropped.
+func (c *conn) release(response encodedResponse) {
+	if response.discard != nil {
+		response.discard()
+	}
+	c.server.reserveResponse(c, -response.reservedSize)
+}
+
 // write writes queued responses to the socket until the queue is closed. After a write error it discards the rest.
 func (c *conn) write() {
 	failed := false
 	for response := range c.queue {
 		if !failed {
-			c.netConn.SetWriteDeadline(clock.Deadline(writeTimeout))
-			n, err := response.parts.WriteTo(c.netConn)
-			c.recordWritten(n)
-			if err != nil {
-				failed = true
-				c.close()
-			}
+			failed = c.writeResponse(response.parts) != nil
 		}
-		c.server.reserveResponse(c, -response.reservedSize)
+		if failed {
+			c.close()
+		}
+		c.release(response)
 		c.addUnsentResponses(-1)
 	}
 }
+
+// writeResponse writes one response. It returns an error if that takes longer than writeTimeout, or if the client takes
+// nothing for readStallTimeout while memory is scarce.
+func (c *conn) writeResponse(parts net.Buffers) error {
+	giveUpAt := c.server.Clock.Now() + writeTimeout
+	for {
+		c.netConn.SetWriteDeadline(clock.Deadline(readStallTimeout))
+		n, err := parts.WriteTo(c.netConn)
+		c.recordWritten(n)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		isStalled := n == 0 && c.server.isMemoryScarce()
+		if isStalled || c.server.Clock.Now() >= giveUpAt {
+			return err
+		}
+	}
+}
--- a/internal/msgpackrpc/decode_bytes.go
+++ b/internal/msgpackrpc/decode_bytes.go
@@ -21,23 +21,21 @@
 	return b, d.readFull(b)
 }
 
-// readLarge reads a large string. Its buffer grows with the bytes that arrive, so that a header alone takes little
-// memory. If the shared limit is reached, readLarge discards the string and returns nil.
+// readLarge reads a large string. It allocates the string once its first bytes have arrived, so that a header alone takes
+// little memory. If the shared limit is reached, readLarge discards the string and returns nil.
 func (d *decoder) readLarge(n int) ([]byte, error) {
-	var b []byte
-	for len(b) < n {
-		size := min(max(2*len(b), firstReadSize), n)
-		if !d.memory.reserveLarge(size - len(b)) {
-			return nil, d.discard(n - len(b))
-		}
-		grown := make([]byte, size)
-		unread := grown[copy(grown, b):]
-		b = grown
-		if err := d.readFull(unread); err != nil {
-			return nil, err
-		}
+	first := min(n, firstReadSize, d.reader.Size())
+	if !d.memory.reserveLarge(first) {
+		return nil, d.discard(n)
 	}
-	return b, nil
+	if _, err := d.reader.Peek(first); err != nil {
+		return nil, unexpectedEOF(err)
+	}
+	if !d.memory.reserveLarge(n - first) {
+		return nil, d.discard(n)
+	}
+	b := make([]byte, n)
+	return b, d.readFull(b)
 }
 
 // takeBytes subtracts n bytes from the rest of the message, or returns an error if it allows fewer.
--- a/internal/msgpackrpc/handler.go
+++ b/internal/msgpackrpc/handler.go
@@ -19,7 +19,8 @@
 // encodedResponse is a response in the queue of a connection.
 type encodedResponse struct {
 	parts        net.Buffers
-	reservedSize int64 // bytes of Server.MaxQueuedBytes reserved until the response is written
+	reservedSize int64  // bytes of Server.MaxQueuedBytes reserved until the response is written
+	discard      func() // called once the response is written or dropped; nil: nothing to do
 }
 
 // handleMessage handles one message. An error ends the connection. Request handlers run in goroutines that are started
@@ -56,7 +57,7 @@
 	if server.rejectsRequests() {
 		return c.reject(m, drainRetryAfter)
 	}
-	cost := int64(requestOverhead + len(request.Body))
+	cost := int64(requestOverhead + bodyCopies*len(request.Body))
 	requestCtx, open, err := c.registerRequest(ctx, m.id, cost)
 	if err != nil {
 		return err
@@ -103,6 +104,7 @@
 	c.addUnsentResponses(1) // prevents eviction of the connection before the response is queued
 	defer c.addUnsentResponses(-1)
 	if !c.closeRequest(id, open) || response.Outcome == router.NoResponse {
+		response.Discard()
 		return
 	}
 	if err := c.respond(id, response); err != nil {
@@ -181,7 +183,8 @@
 // for clients that do not read.
 func (c *conn) respondServed(id uint64, response router.Response) error {
 	size := int64(len(response.Body))
-	if !c.server.reserveResponse(c, size) {
+	if !c.awaitReservation(size) {
+		response.Discard()
 		return c.enqueueBytes(appendError(nil, id, errorFailed, fieldReason, "too many answers wait"))
 	}
 	header := appendBinaryHeader(appendResultHeader(nil, id), len(response.Body))
@@ -191,5 +194,9 @@
 	} else {
 		fields = appendFields(nil)
 	}
-	return c.enqueue(encodedResponse{parts: net.Buffers{header, response.Body, fields}, reservedSize: size})
+	return c.enqueue(encodedResponse{
+		parts:        net.Buffers{header, response.Body, fields},
+		reservedSize: size,
+		discard:      response.Release,
+	})
 }
--- a/internal/msgpackrpc/message_memory.go
+++ b/internal/msgpackrpc/message_memory.go
@@ -26,8 +26,7 @@
 // by maxSmallValues. Large strings are also reserved from a limit that all messages share, as their bytes arrive.
 //
 // The messages that a server is receiving thus hold at most maxSmallValues for each connection, plus the part of
-// Server.MaxQueuedBytes that open requests and unwritten responses leave. A large string may be copied while it grows,
-// one at a time for each running thread.
+// Server.MaxQueuedBytes that open requests and unwritten responses leave.
 type messageMemory struct {
 	smallValues int                // bytes that further small values may use
 	reserve     func(n int64) bool // reserves bytes of the shared limit, or releases -n; nil: there is no shared limit
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -16,11 +16,17 @@
 	"spantack/internal/router"
 )
 
+// BytesPerConn is the memory of one client connection: the buffer of its reader, the queue of its writer, their stacks,
+// and the small values of a message that is being received. Open requests, large strings and responses count towards
+// Server.MaxQueuedBytes.
+const BytesPerConn = 24 << 10
+
 // Limits of client connections. Times are in milliseconds.
 const (
 	maxOpenRequests    = 32                  // per connection, as the protocol allows
 	maxQueuedResponses = 4 * maxOpenRequests // per connection, not yet written
 	requestOverhead    = 8 << 10             // bytes reserved for an open request besides its body
+	bodyCopies         = 2                   // of a request's body: its own, and the one that is written to a server
 	connQuotaDivisor   = 8                   // the quota of a connection is MaxQueuedBytes divided by this
 	readBufferSize     = 4 << 10             // bytes
 
@@ -31,6 +37,8 @@
 	idleTimeout        = 6_000  // clients close idle connections after 4 s; the server closes the ones left open
 	messageTimeout     = 2_000  // for the rest of a message after its first byte
 	writeTimeout       = 10_000 // for one response; a client that does not read it is treated as disconnected
+	maxQueueWait       = 100    // for memory for a response, while the client takes its responses
+	queuePollInterval  = 2      // between two checks during that wait
 	lingerTimeout      = 250    // for bytes that the client sent before it received the close
 	acceptRetryDelay   = 20     // after a failed accept
 
--- a/internal/msgpackrpc/unread.go
+++ b/internal/msgpackrpc/unread.go
@@ -102,6 +102,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bytesWritten += n
+	if n > 0 {
+		c.writtenAt = c.server.Clock.Now()
+	}
 	c.readBy = max(c.readBy, c.server.Clock.Now()) + float64(n)/minReadRate
 }
 
--- a/internal/resp/array.go
+++ b/internal/resp/array.go
@@ -33,17 +33,23 @@
 // ReadArray reads one array of bulk strings: a command or a response. Lengths are checked before anything is allocated.
 // It returns io.EOF if the stream ends between arrays, and io.ErrUnexpectedEOF if it ends within one.
 func ReadArray(in *bufio.Reader) ([][]byte, error) {
+	return readArray(in, newString)
+}
+
+// readArray is ReadArray with a function that returns a buffer for a body, whose length has been checked. An error of
+// that function is returned as it is.
+func readArray(in *bufio.Reader, newBody func(size int) ([]byte, error)) ([][]byte, error) {
 	length, err := readLength(in, arrayType, maxArrayLength)
 	if err != nil {
 		return nil, err
 	}
 	parts := make([][]byte, length)
 	for i := range parts {
-		limit := maxStringSize
 		if i == bodyIndex {
-			limit = MaxBodySize
+			parts[i], err = readString(in, MaxBodySize, newBody)
+		} else {
+			parts[i], err = readString(in, maxStringSize, newString)
 		}
-		parts[i], err = readString(in, limit)
 		if err != nil {
 			return nil, unexpectedEOF(err)
 		}
@@ -51,20 +57,37 @@
 	return parts, nil
 }
 
-// readString reads one bulk string of at most limit bytes.
-func readString(in *bufio.Reader, limit int) ([]byte, error) {
+// newString returns a new buffer for a string.
+func newString(size int) ([]byte, error) { return make([]byte, size), nil }
+
+// readString reads one bulk string of at most limit bytes into a buffer that newBuffer returns.
+func readString(in *bufio.Reader, limit int, newBuffer func(size int) ([]byte, error)) ([]byte, error) {
 	size, err := readLength(in, stringType, limit)
 	if err != nil {
 		return nil, err
 	}
-	text := make([]byte, size+len(lineEnd))
+	text, err := newBuffer(size)
+	if err != nil {
+		return nil, err
+	}
 	if _, err := io.ReadFull(in, text); err != nil {
 		return nil, err
 	}
-	if text[size] != '\r' || text[size+1] != '\n' {
-		return nil, fmt.Errorf("%w: bulk string not terminated by CRLF", errMalformed)
+	return text, readLineEnd(in)
+}
+
+// readLineEnd reads the end of a bulk string.
+func readLineEnd(in *bufio.Reader) error {
+	for i := range len(lineEnd) {
+		next, err := in.ReadByte()
+		if err != nil {
+			return unexpectedEOF(err)
+		}
+		if next != lineEnd[i] {
+			return fmt.Errorf("%w: bulk string not terminated by CRLF", errMalformed)
+		}
 	}
-	return text[:size:size], nil
+	return nil
 }
 
 // unexpectedEOF converts io.EOF within an array to io.ErrUnexpectedEOF; other errors are returned unchanged.
--- a/internal/resp/attempt.go
+++ b/internal/resp/attempt.go
@@ -30,12 +30,15 @@
 	result   chan router.AttemptResult // has a capacity of one, so that finish never blocks
 }
 
-// finish delivers the result through Done. Only the first call has an effect. Pools.mu is held.
+// finish delivers the result through Done. Only the result of the first call is delivered; others are discarded.
+// Pools.mu is held.
 func (a *pendingAttempt) finish(result router.AttemptResult) {
-	if !a.finished {
-		a.finished = true
-		a.result <- result
+	if a.finished {
+		result.Discard()
+		return
 	}
+	a.finished = true
+	a.result <- result
 }
 
 // Done implements router.PendingAttempt.
@@ -59,6 +62,7 @@
 //     of the server.
 func (a *pendingAttempt) Cancel(mayRetry bool) {
 	canceledAt, dropWritten, isInFlight := a.withdraw()
+	a.discardResult()
 	if !isInFlight {
 		return
 	}
@@ -82,6 +86,15 @@
 	}
 }
 
+// discardResult discards the result if it was delivered and nobody has received it.
+func (a *pendingAttempt) discardResult() {
+	select {
+	case result := <-a.result:
+		result.Discard()
+	default:
+	}
+}
+
 // withdraw marks the attempt as finished. If the server may have received part of the attempt, isInFlight is true:
 // withdraw has queued the DROP, and dropWritten is closed once it is written.
 func (a *pendingAttempt) withdraw() (canceledAt float64, dropWritten chan struct{}, isInFlight bool) {
@@ -94,6 +107,7 @@
 	}
 	delete(a.conn.attempts, a.attempt.ID)
 	if !a.writeStarted {
+		a.attempt.Request = &router.Request{ID: a.attempt.ID} // its command stays queued and must not hold the body
 		a.conn.closeWhenIdle()
 		return 0, nil, false
 	}
@@ -111,7 +125,7 @@
 	select {
 	case <-written:
 		return true
-	case <-c.done:
+	case <-c.ctx.Done():
 		return true
 	case <-timeout.C:
 		return false
@@ -123,7 +137,7 @@
 // hold: the attempt has waited for more than maxSilence, and no other attempt is in flight on the connection. Pools.mu
 // is held.
 func (c *conn) mustCloseForSilence(canceled *pendingAttempt, canceledAt float64, mayRetry bool) bool {
-	if c.lastResponseAt >= canceled.queuedAt {
+	if c.lastResponseAt >= canceled.queuedAt || c.awaitsMemory { // a response waits in the socket
 		return false
 	}
 	return mayRetry || len(c.attempts) == 0 && canceledAt-canceled.queuedAt > maxSilence
--- a/internal/resp/conn.go
+++ b/internal/resp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"maps"
 	"net"
@@ -16,9 +17,10 @@
 // it is closed. Fields are guarded by Pools.mu unless noted; times are Unix milliseconds.
 type conn struct {
 	pool    *serverPool
-	netConn net.Conn      // owned; closed by close. Used without the lock for reads, writes and deadlines
-	queue   chan command  // commands that the writer has not started; safe without the lock
-	done    chan struct{} // closed with the connection; safe without the lock
+	netConn net.Conn           // owned; closed by close. Used without the lock for reads, writes and deadlines
+	queue   chan command       // commands that the writer has not started; safe without the lock
+	ctx     context.Context    // ends with the connection; safe without the lock
+	cancel  context.CancelFunc // ends ctx; called by close
 
 	attempts map[string]*pendingAttempt // in flight on this connection, by request id
 
@@ -32,13 +34,14 @@
 	idleTimer      *clock.Timer // closes the connection after it has been idle; nil or stopped while it is in use
 	lastUsedAt     float64
 	lastResponseAt float64 // 0: none yet
+	awaitsMemory   bool    // the reader waits for the memory of a response's body
 	bytesWritten   int64   // total size of the commands passed to the socket in full
 	closed         bool
 }
 
 // command is an entry of a connection's queue.
 type command struct {
-	encoded []byte
+	encoded []byte          // of a DROP; a GET is encoded when it is written, so that the queue holds no copy of its body
 	attempt *pendingAttempt // the attempt of a GET, which is written only while it may be sent; nil: a DROP
 	written chan struct{}   // closed once the command is written; nil: not needed
 	delayed *pendingAttempt // attempt whose delayedResult is delivered once this command is written; nil: none
@@ -52,7 +55,7 @@
 func (c *conn) enqueue(a *pendingAttempt) {
 	id := a.attempt.ID
 	select {
-	case c.queue <- command{encoded: appendGet(nil, a.attempt), attempt: a}:
+	case c.queue <- command{attempt: a}:
 	default:
 		a.finish(router.AttemptResult{Outcome: routing.OutcomeSkipped})
 		return
@@ -116,7 +119,7 @@
 	}
 	c.closed = true
 	c.idleTimer.Stop()
-	close(c.done)
+	c.cancel()
 	c.netConn.Close()
 	c.pools().connCount--
 	c.pool.remove(c)
--- a/internal/resp/interleavings_test.go
+++ b/internal/resp/interleavings_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -175,11 +176,13 @@
 
 // newTestConn returns a connection whose reader and writer are not started.
 func newTestConn(pools *Pools, netConn net.Conn) *conn {
+	ctx, cancel := context.WithCancel(pools.ctx)
 	return &conn{
 		pool:       pools.servers["s-1"],
 		netConn:    netConn,
 		queue:      make(chan command, 4),
-		done:       make(chan struct{}),
+		ctx:        ctx,
+		cancel:     cancel,
 		attempts:   map[string]*pendingAttempt{},
 		droppedAt:  map[string]float64{},
 		unservedAt: map[string]float64{},
--- a/internal/resp/pools.go
+++ b/internal/resp/pools.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"spantack/internal/clock"
+	"spantack/internal/memory"
 	"spantack/internal/ratelog"
 	"spantack/internal/router"
 	"spantack/routing"
@@ -21,9 +22,14 @@
 	IdleTimeout  float64 // idle time after which servers close a connection
 	MaxStreams   int     // attempts in flight at once on one connection
 	MaxConns     int     // total of connections to all servers
+	MaxBodyBytes int64   // memory of all bodies from their arrival until they are written to clients; at least MaxBodySize
 	MaxSendDelay float64 // an attempt is not sent later than this after its server was chosen; 0: no bound
 }
 
+// BytesPerConn is the memory, in bytes, of one connection without the bodies that are sent and received on it: the buffer of its
+// reader, the queue of its writer, their stacks, and the strings of a response.
+const BytesPerConn = 32 << 10
+
 // Bounds of connections to servers; times are milliseconds.
 const (
 	// idleCloseShare is the fraction of IdleTimeout after which the pool closes an idle connection. It does so before the
@@ -50,8 +56,9 @@
 	log   zerolog.Logger
 	ctx   context.Context // ends all connections
 
-	timeouts        timeouts     // set before the first Send
-	attemptsWritten atomic.Int64 // attempts passed to a socket in full
+	bodies          *memory.Buffers // for the bodies of responses, from their arrival until they are written to clients
+	timeouts        timeouts        // set before the first Send
+	attemptsWritten atomic.Int64    // attempts passed to a socket in full
 
 	mu         sync.Mutex             // guards the fields below, and those of serverPool, conn and pendingAttempt
 	options    Options                // only MaxSendDelay changes; the others are read without the lock
@@ -59,6 +66,8 @@
 	connCount  int                    // connections open and being dialed
 	faultCount int                    // malformed or contradicting responses, and dials that failed for lack of descriptors
 	faultLog   ratelog.Limiter
+	// bodyWaitCount is the number of bodies that had to wait for memory.
+	bodyWaitCount int64
 }
 
 // timeouts bound the time of writes to servers, in milliseconds. Tests increase them.
@@ -71,6 +80,7 @@
 func NewPools(ctx context.Context, options Options, clock *clock.Clock, log zerolog.Logger) *Pools {
 	return &Pools{
 		options:  options,
+		bodies:   memory.NewBuffers(max(options.MaxBodyBytes, MaxBodySize)),
 		clock:    clock,
 		log:      log,
 		ctx:      ctx,
@@ -181,11 +191,18 @@
 // AttemptsWritten returns the number of attempts that were written to servers in full.
 func (p *Pools) AttemptsWritten() int64 { return p.attemptsWritten.Load() }
 
-// Faults returns the number of malformed or contradicting responses, and of dials that failed for lack of descriptors.
-func (p *Pools) Faults() int {
+// Stats describes pools: counts since their start, and the current reservation of memory.
+type Stats struct {
+	Faults    int   // malformed or contradicting responses, and dials that failed for lack of descriptors
+	BodyBytes int64 // reserved part of Options.MaxBodyBytes
+	BodyWaits int64 // bodies that had to wait for memory
+}
+
+// Stats returns the current statistics.
+func (p *Pools) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faultCount
+	return Stats{Faults: p.faultCount, BodyBytes: p.bodies.Lent(), BodyWaits: p.bodyWaitCount}
 }
 
 // recordFault counts a fault of a server or of the system, and logs at most one per ratelog.Interval. p.mu is held.
--- a/internal/resp/pools_test.go
+++ b/internal/resp/pools_test.go
@@ -290,7 +290,7 @@
 	attempts["canceled"].finished = true
 	pools.mu.Unlock()
 	go conn.write()
-	defer close(conn.done)
+	defer conn.cancel()
 	(&fakeConn{t, remote, bufio.NewReader(remote)}).expect("GET good")
 	wantOutcome(t, attempts["late"], routing.OutcomeConnectionRefused)
 }
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"spantack/internal/clock"
@@ -45,11 +46,51 @@
 	if err != nil {
 		return "", result, err
 	}
-	parts, err := ReadArray(in)
-	if err != nil {
-		return "", result, err
+	var body []byte
+	parts, err := readArray(in, func(size int) ([]byte, error) {
+		var err error
+		body, err = c.newBody(size)
+		return body, err
+	})
+	if err == nil {
+		id, result, err = parseResponse(parts)
+	}
+	if body == nil {
+		return id, result, err
+	}
+	release := sync.OnceFunc(func() { c.pools().bodies.Put(body) })
+	if err != nil || result.Body == nil {
+		release()
+		return id, result, err
+	}
+	result.Release = release
+	return id, result, nil
+}
+
+// newBody returns a buffer for the body of a response. While all memory for bodies is in use, it waits, and the server's
+// further responses wait in the socket. The bodies in use are being received or written to clients, so that the wait
+// ends. It returns an error if the connection is closed meanwhile.
+func (c *conn) newBody(size int) ([]byte, error) {
+	bodies := c.pools().bodies
+	if body, ok := bodies.TryGet(size); ok {
+		return body, nil
+	}
+	c.setAwaitsMemory(true)
+	body, err := bodies.Get(c.ctx, size)
+	c.setAwaitsMemory(false)
+	c.netConn.SetReadDeadline(clock.Deadline(stallTimeout))
+	return body, err
+}
+
+// setAwaitsMemory sets awaitsMemory, and counts the waits.
+func (c *conn) setAwaitsMemory(awaits bool) {
+	pools := c.pools()
+	pools.mu.Lock()
+	defer pools.mu.Unlock()
+	c.awaitsMemory = awaits
+	if awaits {
+		pools.bodyWaitCount++
 	}
-	return parseResponse(parts)
 }
 
 // handleResponse passes a response to its attempt. A response that belongs to no attempt in flight is ignored: the
@@ -59,13 +100,18 @@
 	pools.mu.Lock()
 	defer pools.mu.Unlock()
 	now := pools.clock.Now()
-	if a := c.attempts[id]; a != nil && a.writeStarted && a.delayedResult == nil {
+	a := c.attempts[id]
+	isExpected := a != nil && a.writeStarted && a.delayedResult == nil
+	if isExpected {
 		if err := a.checkNotModified(result); err != nil { // responses can't be matched any more
+			result.Discard()
 			return err
 		}
-		if a.canMatch(result, now) {
-			c.endWithResponse(a, a.rejectTooOld(result))
-		}
+	}
+	if isExpected && a.canMatch(result, now) {
+		c.endWithResponse(a, a.rejectTooOld(result))
+	} else {
+		result.Discard()
 	}
 	c.lastResponseAt = now
 	c.lastUsedAt = now
@@ -95,6 +141,7 @@
 		return result
 	}
 	excess := a.chosenAt - result.CopyMadeAt - a.attempt.MaxAge
+	result.Discard()
 	a.pools.recordFault(a.conn.pool, fmt.Errorf("copy is %.0f ms older than the age limit of its request", excess))
 	return router.AttemptResult{Outcome: routing.OutcomeError, LoadReport: result.LoadReport}
 }
--- a/internal/resp/serverpool.go
+++ b/internal/resp/serverpool.go
@@ -118,11 +118,13 @@
 	pools := p.pools
 	pools.mu.Lock()
 	defer pools.mu.Unlock()
+	ctx, cancel := context.WithCancel(pools.ctx)
 	c := &conn{
 		pool:       p,
 		netConn:    netConn,
 		queue:      make(chan command, queueCapacity),
-		done:       make(chan struct{}),
+		ctx:        ctx,
+		cancel:     cancel,
 		attempts:   map[string]*pendingAttempt{},
 		droppedAt:  map[string]float64{},
 		unservedAt: map[string]float64{},
--- a/internal/resp/writer.go
+++ b/internal/resp/writer.go
@@ -17,7 +17,7 @@
 func (c *conn) write() {
 	for {
 		select {
-		case <-c.done:
+		case <-c.ctx.Done():
 			return
 		case next := <-c.queue:
 			if err := c.writeIfDue(next); err != nil {
@@ -32,7 +32,7 @@
 func (c *conn) writeIfDue(next command) error {
 	timeout := c.pools().timeouts.write
 	if next.attempt != nil {
-		if next.attempt.clientDeparted() {
+		if hasDeparted := c.departureCheck(next.attempt); hasDeparted() {
 			return nil // Cancel removes it from this connection
 		}
 		limit, isDue := c.beginWrite(next.attempt)
@@ -40,6 +40,7 @@
 			return nil
 		}
 		timeout = limit
+		next.encoded = appendGet(nil, next.attempt.attempt)
 	}
 	c.netConn.SetWriteDeadline(clock.Deadline(timeout))
 	err := c.writeCommand(next)
@@ -50,6 +51,18 @@
 	return err
 }
 
+// departureCheck returns the function that reports whether the client of an attempt has left. It is called without the
+// lock, since it may block.
+func (c *conn) departureCheck(a *pendingAttempt) func() bool {
+	pools := c.pools()
+	pools.mu.Lock()
+	defer pools.mu.Unlock()
+	if a.attempt.ClientDeparted == nil {
+		return func() bool { return false }
+	}
+	return a.attempt.ClientDeparted
+}
+
 // beginWrite reports whether an attempt may still be written, and within how many milliseconds. An attempt that waited
 // too long for its connection ends as OutcomeConnectionRefused: it was not sent, so it never ran. An attempt whose
 // first byte is not sent in time must not be sent later, so timeout is the time left, but at least minWriteTimeout and
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -21,12 +21,20 @@
 	CacheStatus routing.CacheStatus // how the server got the copy, or why it has none
 	SourceWait  float64             // milliseconds that the server waited for Source; the module's UpstreamWait
 	Body        []byte
+	Release     func()  // releases the memory reserved for Body; nil: none is reserved. See Discard
 	NotModified bool    // the client's own copy, whose ETag is ETag, is current: no body
 	ETag        string  // ETag of the copy; empty: not reported
 	LoadReport  string  // the server's load report as received, "NAME:VALUE;NAME:VALUE"; empty: none
 	CopyMadeAt  float64 // when the origin issued the copy, in Unix milliseconds; 0: not reported
 }
 
+// Discard releases the memory reserved for the body. The owner of a result calls it, or passes Body and Release on.
+func (r *AttemptResult) Discard() {
+	if r.Release != nil {
+		r.Release()
+	}
+}
+
 // PendingAttempt is an attempt in flight. Its sender owns it until it has received the result or canceled the attempt.
 type PendingAttempt interface {
 	// Done returns the channel that delivers the attempt's result, once. It delivers nothing after Cancel.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -51,6 +51,15 @@
 type Response struct {
 	Outcome     Outcome
 	Body        []byte
+	Release     func()  // releases the memory reserved for Body; nil: none is reserved. See Discard
 	NotModified bool    // the client's own copy is current; Body is empty
 	RetryAfter  float64 // milliseconds; only with Rejected
 }
+
+// Discard releases the memory reserved for the body. The caller of Serve calls it once it needs Body no longer, or has
+// accounted for it otherwise.
+func (r *Response) Discard() {
+	if r.Release != nil {
+		r.Release()
+	}
+}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -194,9 +194,15 @@
 	case result.Outcome != routing.OutcomeServed:
 		return Response{}, false
 	case ctx.Err() != nil:
+		result.Discard()
 		return Response{}, true
 	default:
-		return Response{Outcome: Served, Body: result.Body, NotModified: result.NotModified}, true
+		return Response{
+			Outcome:     Served,
+			Body:        result.Body,
+			Release:     result.Release,
+			NotModified: result.NotModified,
+		}, true
 	}
 }
 
--- a/lab/process/badclients_test.go
+++ b/lab/process/badclients_test.go
@@ -100,19 +100,7 @@
 func TestBadClientsStayWithinTheMemoryLimit(t *testing.T) {
 	for _, limits := range []struct{ memoryMB, sockets, clients int }{{32, 1024, 500}, {192, 1024, 1000}} {
 		t.Run(fmt.Sprintf("%d MB", limits.memoryMB), func(t *testing.T) {
-			d := startDeployment(t, Options{Routers: 1, EdgeCaches: 2})
-			useLimits := func(doc map[string]any) {
-				doc["limits"] = map[string]any{"memory_mb": limits.memoryMB, "sockets": limits.sockets}
-			}
-			if err := d.Configure(0, useLimits); err != nil {
-				t.Fatal(err)
-			}
-			if err := d.Routers[0].Kill(); err != nil {
-				t.Fatal(err)
-			}
-			if err := d.Restart(contextWithLimit(t, routerTimeout, "the restart"), 0); err != nil {
-				t.Fatal(err)
-			}
+			d := startWithLimits(t, limits.memoryMB, limits.sockets, Options{EdgeCaches: 2})
 			peak := attackRouter(t, d.Routers[0], limits.clients)
 			if peak > float64(limits.memoryMB) {
 				t.Errorf("%.1f MB of memory, want at most %d", peak, limits.memoryMB)
