A request at the end of a connection's idle time is read, not dropped with it

Cause: traced with prints in a scratch copy. A drain wakes the reader by an expired read deadline; a read then fails even if bytes have arrived. The reader found the connection idle for too long and its client at the end of its responses, and closed it over a request in the socket. Change: the reader looks into the socket before it ends a connection that is idle or to close, and reads what is there.

--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -110,7 +110,8 @@
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
 			}
-			if closesAfterWait && c.canClose() || c.isIdleTooLong() {
+			isDue := closesAfterWait && c.canClose() || c.isIdleTooLong()
+			if isDue && c.peekSocket() != socketHasData { // a read fails at its deadline even if a message has arrived
 				return nil
 			}
 			continue
--- a/internal/msgpackrpc/interleavings_test.go
+++ b/internal/msgpackrpc/interleavings_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"spantack/internal/clock"
 	"spantack/internal/router"
 	"spantack/internal/testwait"
 )
@@ -233,3 +234,38 @@
 		t.Errorf("one client can reserve only %d bytes, want at least a quarter of MaxQueuedBytes", unread.reservedBytes)
 	}
 }
+
+// A request may arrive at the moment at which its idle connection is woken, or at the end of its idle time. A read fails at
+// its deadline even if bytes have arrived; they must be read, and not be dropped with the connection.
+func TestRequestAtTheEndOfTheIdleTimeIsHandled(t *testing.T) {
+	fake := clock.NewFake(1_764_576_000_000)
+	var client *testClient
+	started := make(chan struct{})
+	arrived := make(chan struct{})
+	checks := 0
+	testHookAwait = func() {
+		<-started
+		if checks++; checks != 2 { // the second check is the one after the first message
+			return
+		}
+		<-arrived
+		client.Server.mu.Lock()
+		open := client.connections()
+		client.Server.mu.Unlock()
+		testwait.Until(t, "the request in the socket", func() bool { return open[0].peekSocket() == socketHasData })
+		open[0].wake()
+	}
+	defer func() { testHookAwait = func() {} }()
+	client = startServer(t, func(server *Server) { server.Clock = fake })
+	close(started)
+	client.sendHealthRequest()
+	client.expect("[1 1 <nil> [true map[]]]")
+	fake.Advance(idleTimeout)
+	client.sendRequest(2, "page", "0000000000000002")
+	close(arrived)
+	client.nextCall().respond(t, router.Response{Outcome: router.Failed})
+	client.expect("[1 2 [Error map[]] <nil>]")
+	client.stopServer()
+	client.Close()
+	client.awaitServeEnd()
+}
