The end of a client's stream is noticed behind whatever it has sent before

With a full close, a reset, or a close in mid-message nothing is sent, before the change too: the first rejection written to such a client resets the connection. Cause: before an attempt is written, the socket is looked into with MSG_PEEK, which shows the bytes and not the end behind them; the check then waits for the reader, up to 10 ms, and takes the client for present. Change: poll for POLLRDHUP, which tells the end of the stream whatever is unread; where the system doesn't tell, as before. Bytes that are still in the client's own send queue hide the end, and are not covered.

--- a/internal/msgpackrpc/departed.go
+++ b/internal/msgpackrpc/departed.go
@@ -4,6 +4,8 @@
 	"context"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits of the wait in clientDeparted for a reader that has not yet read the available input: at most maxSocketPeeks
@@ -45,8 +47,9 @@
 	return ctx.Err() != nil
 }
 
-// peekSocket returns the state of the socket without consuming input. If the connection is not a socket, it returns
-// socketEmpty, and the reader detects a disconnect.
+// peekSocket returns the state of the socket without consuming input. A client that has closed its side has left even if
+// bytes are unread before the end of the stream: it gets no response to them. If the connection is not a socket,
+// peekSocket returns socketEmpty, and the reader detects a disconnect.
 func (c *conn) peekSocket() socketState {
 	socket, ok := c.netConn.(syscall.Conn)
 	if !ok {
@@ -58,6 +61,10 @@
 	}
 	state := socketEmpty
 	err = raw.Control(func(fd uintptr) {
+		if hasEnded(fd) {
+			state = socketClosed
+			return
+		}
 		var first [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -72,3 +79,11 @@
 	}
 	return state
 }
+
+// hasEnded reports whether the end of the stream has arrived at a socket, behind whatever bytes are unread. It returns
+// false if the system can't tell; the end is then found once all bytes have been read.
+func hasEnded(fd uintptr) bool {
+	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	ready, err := unix.Poll(sockets, 0)
+	return err == nil && ready > 0 && sockets[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0
+}
