The id of a client that has left is not sent again

Cause: register compared ids with the open requests only. Change: core/requestids remembers the ids of requests whose clients left after an attempt was sent, 4,096 for 10 s each; such a request fails without an attempt, as one with the id of an open request did. Not covered: another process at a replacement, and a restart.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 
 	"spantack/core/cells"
 	"spantack/core/endpoints"
+	"spantack/core/requestids"
 	"spantack/internal/clock"
 	"spantack/routing"
 )
@@ -40,6 +41,7 @@
 	endpoints    *endpoints.List
 	lastStepAt   int64                          // time of the module's last step in microseconds; never decreases
 	mailboxes    map[string]chan routing.Action // of open requests, by request id; each is owned by Serve
+	abandonedIDs *requestids.Window             // of requests that may have run and whose clients have left
 	loadFields   []string                       // fields of load reports, in the module's order
 	keyedClasses map[string]bool                // classes whose requests must carry an idempotency key
 
@@ -60,13 +62,14 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	r := &Router{
-		clock:     c,
-		log:       log,
-		upstream:  upstream,
-		admission: admission,
-		endpoints: endpoints.New(),
-		mailboxes: map[string]chan routing.Action{},
-		closed:    make(chan struct{}),
+		clock:        c,
+		log:          log,
+		upstream:     upstream,
+		admission:    admission,
+		endpoints:    endpoints.New(),
+		mailboxes:    map[string]chan routing.Action{},
+		abandonedIDs: requestids.NewWindow(clock.Micros(idRetention), maxAbandonedIDs),
+		closed:       make(chan struct{}),
 	}
 	r.applySettingsLocked(settings)
 	return r, nil
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -21,6 +21,12 @@
 	overdueAfter = 10
 )
 
+// Limits of the ids that are remembered after their clients have left.
+const (
+	idRetention     = 10_000 // milliseconds; longer than the longest deadline of the platform and its window for repeats
+	maxAbandonedIDs = 4096
+)
+
 // mailboxSize is far above the number of actions that the module ever has for one request at once.
 const mailboxSize = 16
 
@@ -46,6 +52,7 @@
 	for {
 		s.wait(ctx)
 		if response, ended := s.handleNext(ctx); ended {
+			s.hasDeparted = response.Outcome == NoResponse
 			return s.countResponse(response)
 		}
 	}
@@ -62,6 +69,7 @@
 // must not be served:
 //
 //   - if an open request has the same id, since the response of one could go to the other;
+//   - if a request with this id was sent to a server and its client left, since it may have run;
 //   - if the class requires an idempotency key and the request has none, since servers could not deduplicate a retry.
 //     This occurs if the front end read the request before the settings were reloaded.
 func (r *Router) register(s *requestState) bool {
@@ -69,8 +77,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, isDuplicate := r.mailboxes[q.ID]
+	mayHaveRun := r.abandonedIDs.Contains(r.advanceLocked(), q.ID)
 	lacksKey := r.keyedClasses[q.Class] && q.IdempotencyKey == ""
-	if isDuplicate || lacksKey {
+	if isDuplicate || mayHaveRun || lacksKey {
 		return false
 	}
 	r.mailboxes[q.ID] = s.mailbox
@@ -88,11 +97,15 @@
 	return true
 }
 
-// unregister removes the request's mailbox, so that later actions for its id are dropped.
+// unregister removes the request's mailbox, so that later actions for its id are dropped. It remembers the id if the
+// client has left and an attempt may have run.
 func (r *Router) unregister(s *requestState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.mailboxes, s.request.ID)
+	if s.hasDeparted && s.attemptNumber >= 0 {
+		r.abandonedIDs.Add(r.advanceLocked(), s.request.ID)
+	}
 }
 
 // requestState is the state of one request in Serve. Only the goroutine of Serve uses it; the module, the upstream and
@@ -113,12 +126,13 @@
 	inFlight sentAttempt
 
 	// Events that have arrived and have not been handled.
-	result     AttemptResult // of the attempt in flight
-	hasResult  bool
-	action     routing.Action // the module's next action
-	hasAction  bool
-	isTimedOut bool // the attempt in flight has timed out
-	isOverdue  bool // overdueAfter has passed since the deadline, and the module has not ended the request
+	result      AttemptResult // of the attempt in flight
+	hasResult   bool
+	action      routing.Action // the module's next action
+	hasAction   bool
+	isTimedOut  bool // the attempt in flight has timed out
+	hasDeparted bool // the client has left before the response
+	isOverdue   bool // overdueAfter has passed since the deadline, and the module has not ended the request
 }
 
 // sentAttempt is the attempt of a requestState that is in flight.
