A server that is listed at another's address takes its place

Seen: a cache comes up at the address of one that has died, and is listed before the old one is said to have gone; it gets 0.68 of 400 requests with two caches. Ruled out: connections of the old process, which are kept by id and address. Change: endpoints.Addresses gives an address to one server; the other counts as removed, in pools and module alike.

--- a/cmd/spantack/process.go
+++ b/cmd/spantack/process.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"spantack/core/endpoints"
 	"spantack/internal/background"
 	"spantack/internal/clock"
 	"spantack/internal/config"
@@ -52,8 +53,9 @@
 	state *handover.StateDir
 
 	watcher    *discovery.Watcher
-	gossip     *gossip.Transport  // nil if the router exchanges no datagrams with others
-	background *background.Runner // nil without a features file
+	addresses  *endpoints.Addresses // of the servers on the endpoint list; used by apply only
+	gossip     *gossip.Transport    // nil if the router exchanges no datagrams with others
+	background *background.Runner   // nil without a features file
 
 	isStarted  atomic.Bool // the initial state has been loaded
 	isStopping atomic.Bool // SIGTERM or SIGINT was received
@@ -68,6 +70,7 @@
 		loadConfig:       loadConfig,
 		signals:          signals,
 		clock:            &clock.Clock{},
+		addresses:        endpoints.NewAddresses(),
 		inheritsListener: c.ListenerFD >= 0,
 	}
 	p.config.Store(c)
@@ -86,8 +89,10 @@
 	return p.isStarted.Load() && !p.isStopping.Load() && !p.server.Draining()
 }
 
-// apply applies an event of the discovery service to the connection pools and the router.
+// apply applies an event of the discovery service to the connection pools and the router. Calls do not overlap: the
+// initial events are applied before the watcher runs.
 func (p *process) apply(event router.WatchEvent) {
+	event = event.WithoutSuperseded(p.addresses)
 	p.pools.Apply(event)
 	p.router.Apply(event)
 }
--- a/internal/router/watch_event.go
+++ b/internal/router/watch_event.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"maps"
+	"slices"
+
+	"spantack/core/endpoints"
 	"spantack/internal/clock"
 	"spantack/routing"
 )
@@ -68,3 +72,32 @@
 		StartedAt: clock.Micros(s.StartedAt),
 	}
 }
+
+// WithoutSuperseded returns the event with every server removed whose address another server has taken over. It records
+// the addresses of the event.
+func (e WatchEvent) WithoutSuperseded(addresses *endpoints.Addresses) WatchEvent {
+	if e.Purge != nil {
+		return e
+	}
+	listings := make([]endpoints.Listing, 0, len(e.Servers))
+	for _, s := range e.Servers {
+		listings = append(listings, endpoints.Listing{
+			Server:    s.ID,
+			Addr:      s.Addr,
+			IsRemoved: s.Status == routing.EndpointRemoved,
+			StartedAt: clock.Micros(s.StartedAt),
+		})
+	}
+	superseded := addresses.Update(e.IsSnapshot, listings)
+	if len(superseded) == 0 {
+		return e
+	}
+	isSuperseded := func(s Server) bool { return superseded[s.ID] }
+	result := WatchEvent{IsSnapshot: e.IsSnapshot, Servers: slices.DeleteFunc(slices.Clone(e.Servers), isSuperseded)}
+	for _, id := range slices.Sorted(maps.Keys(superseded)) {
+		if !e.IsSnapshot { // a snapshot removes the servers that it does not list
+			result.Servers = append(result.Servers, Server{ID: id, Status: routing.EndpointRemoved})
+		}
+	}
+	return result
+}
