--- a/core/endpoints/addresses.go
+++ b/core/endpoints/addresses.go
@@ -86,5 +86,8 @@
 	if listing.StartedAt != owner.StartedAt {
 		return listing.StartedAt < owner.StartedAt
 	}
+	if a.lost[owner.Server] == listing.Addr {
+		return false
+	}
 	return a.lost[listing.Server] == listing.Addr || before[listing.Addr] == listing.Server
 }
--- a/core/endpoints/addresses_test.go
+++ b/core/endpoints/addresses_test.go
@@ -30,6 +30,8 @@
 		"snapshot, new one alone":       {{true, []Listing{successor}, ""}},
 		"old one told again, late":      {{false, []Listing{late}, "old"}, {false, []Listing{old}, "old"}},
 		"old one told again":            {{false, []Listing{successor}, "old"}, {false, []Listing{old}, "old"}},
+		"snapshot with both, known": {{false, []Listing{successor}, "old"}, {true, []Listing{old, successor}, "old"},
+			{true, []Listing{successor, old}, "old"}},
 		"new one gone, old one back": {{false, []Listing{successor}, "old"},
 			{false, []Listing{{Server: "new", Addr: "1:1", IsRemoved: true}}, ""}, {false, []Listing{old}, ""}},
 		"old one moves":                 {{false, []Listing{successor, oldMoved}, ""}, {false, []Listing{oldMoved}, ""}},
