--- a/cmd/spantack/reload.go
+++ b/cmd/spantack/reload.go
@@ -50,8 +50,8 @@
 	}
 	p.log.Info().Str("from", old.DiscoveryAddr).Str("board", c.DiscoveryAddr).Int("classes", len(c.Settings.Classes)).
 		Int("attempts", c.Settings.Permissions.MaxAttempts).Msg("new configuration")
-	if c.DiscoveryAddr != old.DiscoveryAddr {
-		p.watcher.SetAddress(c.DiscoveryAddr)
+	if c.DiscoveryAddr != old.DiscoveryAddr || !c.Names.Equal(old.Names) {
+		p.watcher.SetSource(c.DiscoveryAddr, c.Names)
 	}
 	p.config.Store(keepRestartFields(old, c))
 }
--- a/cmd/spantack/reload_test.go
+++ b/cmd/spantack/reload_test.go
@@ -64,3 +64,29 @@
 	body = binary.BigEndian.AppendUint64(body, 1_764_576_000_480)
 	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
 }
+
+// Guards against a configuration that adds a zone and ends the watch of the discovery service (review case 8): a server
+// of the new zone is listed, and a purge follows. Both must be applied, so that the watch goes on after them.
+func TestReloadWithAddedZoneFollowsDiscovery(t *testing.T) {
+	t.Parallel()
+	p, _ := launch(t, false)
+	p.connectReady()
+	moved := testwait.Listen(t)
+	_, rest, _ := strings.Cut(p.text, `"board":"`)
+	old, _, _ := strings.Cut(rest, `"`)
+	withZone := strings.Replace(p.text, `"Zones":["east"]`, `"Zones":["east","west"]`, 1)
+	withZone = strings.Replace(withZone, old, moved.Addr().String(), 1)
+	p.reload(withZone, `"board":"`+moved.Addr().String()+`"`)
+	watch := testwait.AcceptHello(t, moved, "\x00\x00\x00\x00\x00\x00\x00\x01", "the watch at the new address")
+	watch.Write(append(serverFrame(2, 1), purgeFrame(3)...))
+	watch.Close()
+	testwait.AcceptHello(t, moved, "\x00\x00\x00\x00\x00\x00\x00\x03", "the watch after the server and the purge")
+}
+
+// serverFrame encodes event number of the discovery service: a server in the zone of the given place.
+func serverFrame(number uint64, zone byte) []byte {
+	body := append(binary.BigEndian.AppendUint64(nil, number), 2)
+	body = append(body, 0, 0, 0, 9, 127, 0, 0, 1, 0, 1, 0, zone, 0, 0, 0)
+	body = append(body, make([]byte, 12)...) // weight and start
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
--- a/cmd/spantack/wire.go
+++ b/cmd/spantack/wire.go
@@ -22,14 +22,13 @@
 	p.log.Info().Str("listen", c.ListenAddr).Uint64("known", c.LastEventID).Msg("serving")
 
 	p.watcher = &discovery.Watcher{
-		Names:         c.Names,
 		LastApplied:   c.LastEventID,
 		Apply:         p.apply,
 		RetrySchedule: backoff.Schedule{Rank: c.Fleet.Rank, FleetSize: c.Settings.FleetSize},
 		Clock:         p.clock,
 		Log:           p.log,
 	}
-	p.watcher.SetAddress(c.DiscoveryAddr)
+	p.watcher.SetSource(c.DiscoveryAddr, c.Names)
 	if err := p.wireGossip(); err != nil {
 		return err
 	}
--- a/internal/discovery/frame.go
+++ b/internal/discovery/frame.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 
 	"spantack/internal/router"
 	"spantack/routing"
@@ -18,6 +19,11 @@
 	Kinds []string // of servers
 }
 
+// Equal reports whether the names are the same, in the same order.
+func (n Names) Equal(other Names) bool {
+	return slices.Equal(n.Zones, other.Zones) && slices.Equal(n.Kinds, other.Kinds)
+}
+
 // frameKind is the type of a frame.
 type frameKind byte
 
--- a/internal/discovery/interleavings_test.go
+++ b/internal/discovery/interleavings_test.go
@@ -58,7 +58,7 @@
 				Clock:         &clock.Clock{},
 				Log:           zerolog.Nop(),
 			}
-			watcher.SetAddress(listener.Addr().String())
+			watcher.SetSource(listener.Addr().String(), names)
 			go watcher.Run(t.Context())
 			first := acceptWatch(t, listener)
 			silence := testwait.StartStopwatch()
@@ -119,10 +119,10 @@
 		Clock:         &clock.Clock{},
 	}
 	watcher.Log = zerolog.New(&hookWriter{hook: func() {
-		watcher.SetAddress(skipped.Addr().String())
-		watcher.SetAddress(last.Addr().String())
+		watcher.SetSource(skipped.Addr().String(), names)
+		watcher.SetSource(last.Addr().String(), names)
 	}})
-	watcher.SetAddress(old.Addr().String())
+	watcher.SetSource(old.Addr().String(), names)
 	go watcher.Run(t.Context())
 	acceptWatch(t, old).Close()
 	lost := testwait.StartStopwatch()
@@ -146,8 +146,8 @@
 		Clock:       &clock.Clock{},
 		Log:         zerolog.Nop(),
 	}
-	watcher.SetAddress(loopback.FreeAddress())
+	watcher.SetSource(loopback.FreeAddress(), names)
 	go watcher.Run(t.Context())
-	watcher.SetAddress(last.Addr().String())
+	watcher.SetSource(last.Addr().String(), names)
 	acceptWatch(t, last)
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -22,25 +22,24 @@
 // Times in milliseconds. A purge or drain that the service sends while the stream is lost must take effect at the
 // latest 2 s after the stream broke, or 4 s after it became silent. A new connection must be open before these limits.
 const (
-	silenceTimeout = 2500 // maximum time without a frame; the service sends one per second
-	dialTimeout    = 500
-	minStableTime  = 1000 // the loss of a connection that lasted at least this long starts a new outage
+	dialTimeout   = 500
+	minStableTime = 1000 // the loss of a connection that lasted at least this long starts a new outage
 )
 
-// errAddressChanged is the cause with which SetAddress cancels the context of a connection.
-var errAddressChanged = errors.New("discovery service address changed")
+// errSourceChanged is the cause with which SetSource cancels the context of a connection.
+var errSourceChanged = errors.New("discovery service address or names changed")
 
 // Watcher keeps a connection to the discovery service open and applies its events in order. Its exported fields must be
 // set before Run.
 type Watcher struct {
-	Names         Names
+	Names         Names                   // of the first connection; see SetSource
 	LastApplied   uint64                  // number of the last applied event; connections resume after it
 	Apply         func(router.WatchEvent) // called for each event, one at a time
 	RetrySchedule backoff.Schedule        // spreads the retries of the routers of a fleet
 	Clock         *clock.Clock
 	Log           zerolog.Logger
 
-	mu     sync.Mutex // guards addr and cancel
+	mu     sync.Mutex // guards addr, cancel and, from Run on, Names
 	addr   string
 	cancel context.CancelCauseFunc // ends the connection to addr; nil before the first one
 
@@ -56,14 +55,16 @@
 	hasRetried bool // the outage's first retry was made
 }
 
-// SetAddress sets the address of the discovery service and closes the current connection. The watcher resumes at the
-// new address after the last applied event. An event that was only partly received is requested again.
-func (w *Watcher) SetAddress(addr string) {
+// SetSource sets the address of the discovery service and the names to which its records refer, and closes the current
+// connection. The watcher resumes at the new address after the last applied event. An event that was only partly received
+// is requested again.
+func (w *Watcher) SetSource(addr string, names Names) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.addr = addr
+	w.Names = names
 	if w.cancel != nil {
-		w.cancel(errAddressChanged)
+		w.cancel(errSourceChanged)
 	}
 }
 
@@ -84,13 +85,14 @@
 	defer cancel(nil)
 	w.mu.Lock()
 	addr := w.addr
+	names := w.Names
 	w.cancel = cancel
 	w.mu.Unlock()
 
 	appliedBefore := w.LastApplied
 	startedAt := w.Clock.Monotonic()
-	received, err := w.watch(connCtx, addr)
-	if ctx.Err() == nil && !isAddressChanged(connCtx) {
+	received, err := w.watch(connCtx, addr, names)
+	if ctx.Err() == nil && !isSourceChanged(connCtx) {
 		w.logFailure(err, addr, w.LastApplied-appliedBefore)
 		now := w.Clock.Monotonic()
 		if current.startedAt == 0 || received && now-startedAt >= minStableTime {
@@ -99,9 +101,9 @@
 		w.waitForRetry(connCtx, current)
 		current.hasRetried = true
 	}
-	// The address may also have changed during the wait above. All routers of a fleet get the new address at the same
+	// The source may also have changed during the wait above. All routers of a fleet get the new address at the same
 	// time, so each waits for its slot before it dials.
-	if isAddressChanged(connCtx) {
+	if isSourceChanged(connCtx) {
 		current = outage{startedAt: w.Clock.Monotonic()}
 		w.waitForRetry(ctx, current)
 		current.hasRetried = true
@@ -109,13 +111,13 @@
 	return current
 }
 
-// isAddressChanged reports whether SetAddress canceled the context of a connection.
-func isAddressChanged(connCtx context.Context) bool {
-	return context.Cause(connCtx) == errAddressChanged
+// isSourceChanged reports whether SetSource canceled the context of a connection.
+func isSourceChanged(connCtx context.Context) bool {
+	return context.Cause(connCtx) == errSourceChanged
 }
 
 // waitForRetry waits until the schedule allows the next retry, or until ctx ends. If ctx is the context of a
-// connection, a call of SetAddress ends it.
+// connection, a call of SetSource ends it.
 func (w *Watcher) waitForRetry(ctx context.Context, current outage) {
 	now := clock.Micros(w.Clock.Monotonic())
 	retryAt := w.RetrySchedule.Next(clock.Micros(current.startedAt), now, current.hasRetried)
@@ -143,7 +145,7 @@
 
 // watch opens one connection and applies its events until it ends. It returns whether any frame was received, and the
 // error that ended the connection.
-func (w *Watcher) watch(ctx context.Context, addr string) (received bool, err error) {
+func (w *Watcher) watch(ctx context.Context, addr string, names Names) (received bool, err error) {
 	dialer := net.Dialer{Timeout: clock.Duration(dialTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -155,11 +157,10 @@
 	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, w.LastApplied)); err != nil {
 		return false, fmt.Errorf("write: %w", err)
 	}
-	reader := bufio.NewReader(conn)
+	guard := &paceGuard{Conn: conn}
+	reader := bufio.NewReader(guard)
 	for {
-		// The deadline also covers a service that accepts and sends nothing, or that stops within a frame.
-		conn.SetReadDeadline(clock.Deadline(silenceTimeout))
-		frame, err := readFrame(reader, w.Names)
+		frame, err := guard.nextFrame(reader, names)
 		if err != nil {
 			return received, fmt.Errorf("read: %w", err)
 		}
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -17,7 +19,7 @@
 	applied := make(chan router.WatchEvent, 8)
 	watcher := &Watcher{Names: names, LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
 		Apply: func(event router.WatchEvent) { applied <- event }}
-	watcher.SetAddress(listener.Addr().String())
+	watcher.SetSource(listener.Addr().String(), names)
 	go watcher.Run(t.Context())
 	purge := []byte("\x00\x11\x00\x00\x00\x00\x00\x00\x03\xe8")
 	update := appendFrame(nil, 42, kindUpdate, []byte(record))
@@ -63,7 +65,7 @@
 		{42, string(next)},
 	} {
 		listener := testwait.Listen(t)
-		watcher.SetAddress(listener.Addr().String())
+		watcher.SetSource(listener.Addr().String(), names)
 		if i == 0 {
 			go watcher.Run(t.Context())
 		}
@@ -72,3 +74,47 @@
 		testwait.Receive(t, applied, "the event to be applied")
 	}
 }
+
+// Guards against a service that is slow and never followed (review case 10): a frame in pieces, with pauses well below
+// silenceTimeout, may take longer than that. Asked anew, the service would send it as slowly from its start.
+func TestSlowFrameIsRead(t *testing.T) {
+	t.Parallel()
+	listener := testwait.Listen(t)
+	applied := make(chan router.WatchEvent, 8)
+	watcher := &Watcher{LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
+		Apply: func(event router.WatchEvent) { applied <- event }}
+	watcher.SetSource(listener.Addr().String(), names)
+	go watcher.Run(t.Context())
+	conn := acceptWatchAfter(t, listener, 41)
+	const pieces = 11
+	event := appendFrame(nil, 42, kindUpdate, []byte(record))
+	for i := range pieces {
+		conn.Write(event[i*len(event)/pieces : (i+1)*len(event)/pieces])
+		time.Sleep(clock.Duration(1.2 * silenceTimeout / pieces))
+	}
+	testwait.Receive(t, applied, "the event to be applied")
+	conn.Write(appendFrame(nil, 43, kindUpdate, []byte(record)))
+	testwait.Receive(t, applied, "the next event on the same connection")
+}
+
+// Guards against events that can't be read any more (review case 8): the settings get a zone, and the service lists a
+// server there. The watcher must ask again after the last event that it applied, with the new names.
+func TestChangedNamesApplyToTheStream(t *testing.T) {
+	listener := testwait.Listen(t)
+	applied := make(chan router.WatchEvent, 8)
+	watcher := &Watcher{LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
+		Apply: func(event router.WatchEvent) { applied <- event }}
+	watcher.SetSource(listener.Addr().String(), names)
+	go watcher.Run(t.Context())
+	acceptWatchAfter(t, listener, 41)
+	longer := Names{Zones: append(slices.Clone(names.Zones), "west"), Kinds: names.Kinds}
+	watcher.SetSource(listener.Addr().String(), longer)
+	conn := acceptWatchAfter(t, listener, 41)
+	inNewZone := []byte(record)
+	inNewZone[11] = byte(len(names.Zones))
+	conn.Write(appendFrame(nil, 42, kindUpdate, inNewZone))
+	event := testwait.Receive(t, applied, "the event to be applied")
+	if len(event.Servers) != 1 || event.Servers[0].Zone != "west" {
+		t.Errorf("event %+v, want a server in the new zone", event)
+	}
+}
--- a/internal/discovery/wire_compat_test.go
+++ b/internal/discovery/wire_compat_test.go
@@ -61,7 +61,7 @@
 	listener := testwait.Listen(t)
 	watcher := &Watcher{Names: names, LastApplied: 0x0102030405060708, Clock: clock.NewFake(0), Log: zerolog.Nop(),
 		Apply: func(router.WatchEvent) {}}
-	watcher.SetAddress(listener.Addr().String())
+	watcher.SetSource(listener.Addr().String(), names)
 	go watcher.Run(t.Context())
 	conn := testwait.Accept(t, listener, "the watch")
 	got := make([]byte, len(want))
