--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -28,6 +28,7 @@
 	openRequests      map[uint64]*openRequest // by message id
 	unsentResponses   int                     // queued or about to be queued, and not yet written
 	inMessage         bool                    // the reader is reading a message
+	messageStartedAt  float64                 // when the reader began to read it, in Unix milliseconds
 	awaitsLastMessage bool                    // the connection is to close; the reader waits for a message in transit
 	woken             bool                    // wake was called since awaitMessage last cleared this field
 	receivedAny       bool                    // a complete message has been received
@@ -110,7 +111,7 @@
 // read reads and handles messages. It returns nil if the connection has no open requests and is to close, or has been
 // idle for too long. The client then has all responses, or has stopped reading.
 func (c *conn) read(ctx context.Context, handlers *sync.WaitGroup) error {
-	reader := bufio.NewReaderSize(c.netConn, readBufferSize)
+	reader := bufio.NewReaderSize(messageReader{c}, readBufferSize)
 	for {
 		closesAfterWait := c.awaitMessage()
 		if _, err := reader.Peek(1); err != nil {
@@ -199,11 +200,12 @@
 	}
 }
 
-// beginMessage sets the read deadline for the rest of a message.
+// beginMessage sets the read deadline for the rest of a message. messageReader extends it while requests are open.
 func (c *conn) beginMessage() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inMessage = true
+	c.messageStartedAt = c.server.Clock.Now()
 	c.netConn.SetReadDeadline(clock.Deadline(messageTimeout))
 }
 
--- a/internal/msgpackrpc/server.go
+++ b/internal/msgpackrpc/server.go
@@ -35,7 +35,9 @@
 	// then, its first message may be in transit.
 	newConnGracePeriod = 100
 	idleTimeout        = 6_000  // clients close idle connections after 4 s; the server closes the ones left open
-	messageTimeout     = 2_000  // for the rest of a message after its first byte
+	messageTimeout     = 2_000  // for the rest of a message after its first byte, while no request is open
+	maxMessageTime     = 10_000 // for the rest of a message in any case
+	messageCheckTime   = 250    // between two checks of a message that takes longer than messageTimeout
 	writeTimeout       = 10_000 // for one response; a client that does not read it is treated as disconnected
 	maxQueueWait       = 100    // for memory for a response, while the client takes its responses
 	queuePollInterval  = 2      // between two checks during that wait
