The process exits at the end of its shutdown even if a component is stuck

Cause, found by reading what can hold the end of the process: serve waited for all components without a limit. One of them reads the configuration at SIGHUP; a named pipe without a writer holds it for good, and SIGTERM then ends nothing. Before, TestShutdownDoesNotWaitForAStuckReload fails with: waited 20s for the router process to exit.

--- a/cmd/spantack/process.go
+++ b/cmd/spantack/process.go
@@ -59,6 +59,8 @@
 
 	isStarted  atomic.Bool // the initial state has been loaded
 	isStopping atomic.Bool // SIGTERM or SIGINT was received
+	// shutdownExpired is closed when the shutdown should have ended.
+	shutdownExpired chan struct{}
 }
 
 // run serves until SIGTERM or SIGINT. It returns once all accepted requests have their responses.
@@ -70,6 +72,7 @@
 		loadConfig:       loadConfig,
 		signals:          signals,
 		clock:            &clock.Clock{},
+		shutdownExpired:  make(chan struct{}),
 		addresses:        endpoints.NewAddresses(),
 		inheritsListener: c.ListenerFD >= 0,
 	}
--- a/cmd/spantack/shutdown.go
+++ b/cmd/spantack/shutdown.go
@@ -69,4 +69,5 @@
 	p.server.ShutdownGracePeriod = plan.slack
 	p.clock.AfterFunc(plan.acceptFor, stopAccepting)
 	p.clock.AfterFunc(plan.respondBy, p.router.Close)
+	p.clock.AfterFunc(plan.respondBy+plan.clientsRead+plan.slack+exitMargin/2, func() { close(p.shutdownExpired) })
 }
--- a/cmd/spantack/shutdown_test.go
+++ b/cmd/spantack/shutdown_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"spantack/internal/testwait"
 )
@@ -69,3 +70,28 @@
 	}
 	return checkEachAnswered(answers, 3)
 }
+
+// Guards against a process that does not exit after SIGTERM because one of its components waits for good: the
+// configuration is replaced by a named pipe that nobody writes to, and SIGHUP makes the process read it. It must exit
+// before SIGKILL may follow, and name the component.
+func TestShutdownDoesNotWaitForAStuckReload(t *testing.T) {
+	t.Parallel()
+	p, _ := launch(t, false)
+	p.connectReady()
+	if err := os.Remove(p.config); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.writeConfig(true); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	watch := testwait.StartStopwatch()
+	p.signal(syscall.SIGTERM)
+	if took := p.awaitExit(watch); took > killLimit {
+		t.Errorf("exited after %v, want at most %v", took, killLimit)
+	}
+	if log := p.log.String(); !strings.Contains(log, `"waiting":["reload"]`) {
+		t.Errorf("the log does not name the component: %s", log)
+	}
+}
