--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -75,16 +75,24 @@
 	}
 }
 
+// startWatcher runs a watcher of the service at addr, which has applied event 41, and returns the channel of the events
+// that it applies.
+func startWatcher(t *testing.T, addr string) (*Watcher, <-chan router.WatchEvent) {
+	t.Helper()
+	applied := make(chan router.WatchEvent, 8)
+	watcher := &Watcher{LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
+		Apply: func(event router.WatchEvent) { applied <- event }}
+	watcher.SetSource(addr, names)
+	go watcher.Run(t.Context())
+	return watcher, applied
+}
+
 // Guards against a service that is slow and never followed (review case 10): a frame in pieces, with pauses well below
 // silenceTimeout, may take longer than that. Asked anew, the service would send it as slowly from its start.
 func TestSlowFrameIsRead(t *testing.T) {
 	t.Parallel()
 	listener := testwait.Listen(t)
-	applied := make(chan router.WatchEvent, 8)
-	watcher := &Watcher{LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
-		Apply: func(event router.WatchEvent) { applied <- event }}
-	watcher.SetSource(listener.Addr().String(), names)
-	go watcher.Run(t.Context())
+	_, applied := startWatcher(t, listener.Addr().String())
 	conn := acceptWatchAfter(t, listener, 41)
 	const pieces = 11
 	event := appendFrame(nil, 42, kindUpdate, []byte(record))
@@ -101,11 +109,7 @@
 // server there. The watcher must ask again after the last event that it applied, with the new names.
 func TestChangedNamesApplyToTheStream(t *testing.T) {
 	listener := testwait.Listen(t)
-	applied := make(chan router.WatchEvent, 8)
-	watcher := &Watcher{LastApplied: 41, Clock: clock.NewFake(0), Log: zerolog.Nop(),
-		Apply: func(event router.WatchEvent) { applied <- event }}
-	watcher.SetSource(listener.Addr().String(), names)
-	go watcher.Run(t.Context())
+	watcher, applied := startWatcher(t, listener.Addr().String())
 	acceptWatchAfter(t, listener, 41)
 	longer := Names{Zones: append(slices.Clone(names.Zones), "west"), Kinds: names.Kinds}
 	watcher.SetSource(listener.Addr().String(), longer)
