Memory and departure scenarios take less time in the run of all tests

Change: the eight departures share one deployment, and the clients of a memory scenario run for 3 s; the checks are the same.

--- a/lab/process/departed_test.go
+++ b/lab/process/departed_test.go
@@ -41,33 +41,15 @@
 // client sends hundreds of requests and leaves. When it runs again it finds them all, with the end of the stream behind
 // them. The requests of another client, which stays, must be served.
 func TestNothingIsSentForClientsThatLeftMuchUnread(t *testing.T) {
+	d := startDeployment(t, Options{Routers: 1, EdgeCaches: 4, ResponseDelay: 5 * time.Millisecond})
 	for number, departure := range unreadDepartures {
 		for _, bodySize := range []int{0, 4000} {
 			t.Run(fmt.Sprintf("%s/%d bytes", departure.name, bodySize), func(t *testing.T) {
-				d := startDeployment(t, Options{Routers: 1, EdgeCaches: 4, ResponseDelay: 5 * time.Millisecond})
-				conn, err := net.Dial("tcp", d.Routers[0].Addr)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer conn.Close()
-				client := conn.(*net.TCPConn)
-				askHealthOf(t, client)
-				signal(t, d.Routers[0], syscall.SIGSTOP)
-				prefix := fmt.Sprintf("%08x", 0x1ead0000+number)
-				writeRequests(t, client, 0x1ead0000+int64(number), bodySize)
-				io.WriteString(client, departure.tail)
-				departure.end(client)
-				time.Sleep(freezeTime)
-				signal(t, d.Routers[0], syscall.SIGCONT)
+				firstHalf := int64(0x1ead0000 + bodySize + number) // different in each subtest
+				leaveWhileFrozen(t, d, departure, firstHalf, bodySize)
 				waitUntil(t, "another client to be served", func() bool { return serveOne(t, d.Routers[0]) })
 				time.Sleep(settleTime)
-				sent := 0
-				for _, request := range d.RequestLog.Requests() {
-					if strings.HasPrefix(request.ID, prefix) {
-						sent++
-					}
-				}
-				if sent > 0 {
+				if sent := countRequests(d, fmt.Sprintf("%08x", firstHalf)); sent > 0 {
 					t.Errorf("%d requests of a client that has left were sent to caches", sent)
 				}
 			})
@@ -75,6 +57,35 @@
 	}
 }
 
+// leaveWhileFrozen freezes the router while a client sends requests and leaves. The ids of the requests begin with
+// firstHalf.
+func leaveWhileFrozen(t *testing.T, d *Deployment, departure unreadDeparture, firstHalf int64, bodySize int) {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.Routers[0].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	client := conn.(*net.TCPConn)
+	askHealthOf(t, client)
+	signal(t, d.Routers[0], syscall.SIGSTOP)
+	writeRequests(t, client, firstHalf, bodySize)
+	io.WriteString(client, departure.tail)
+	departure.end(client)
+	time.Sleep(freezeTime)
+	signal(t, d.Routers[0], syscall.SIGCONT)
+}
+
+// countRequests returns the number of requests that have arrived at servers and whose ids begin with prefix.
+func countRequests(d *Deployment, prefix string) (n int) {
+	for _, request := range d.RequestLog.Requests() {
+		if strings.HasPrefix(request.ID, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // askHealthOf makes a health call and waits for its response.
 func askHealthOf(t *testing.T, conn *net.TCPConn) {
 	t.Helper()
--- a/lab/process/memory_test.go
+++ b/lab/process/memory_test.go
@@ -229,6 +229,10 @@
 	return d
 }
 
+// memoryTime is how long the clients of a scenario run. It is longer than the 2 s that a router gives an unfinished
+// message.
+const memoryTime = 3 * time.Second
+
 // memoryScenario is a memory limit, and clients of some kinds beside the usual ones.
 type memoryScenario struct {
 	name     string
@@ -269,7 +273,7 @@
 		t.Run(fmt.Sprintf("%s/%d MB/%d", s.name, s.memoryMB, s.clients), func(t *testing.T) {
 			d := startWithLimits(t, s.memoryMB, sockets, Options{EdgeCaches: 4, BodySize: largestBody})
 			r := d.Routers[0]
-			ctx, cancel := context.WithTimeout(t.Context(), attackDuration)
+			ctx, cancel := context.WithTimeout(t.Context(), memoryTime)
 			defer cancel()
 			var number atomic.Int64
 			others := runClients(ctx, r.Addr, s.kinds, s.clients, &number)
