A connection that drops responses is counted once

Found on reading the change again. Change: it closes the connection at the failed write only, as before. Before, TestFailedWriteCountsItsConnectionOnce fails with: 3 connections counted, want 1. Result: it passes.

--- a/internal/msgpackrpc/conn.go
+++ b/internal/msgpackrpc/conn.go
@@ -288,10 +288,8 @@
 func (c *conn) write() {
 	failed := false
 	for response := range c.queue {
-		if !failed {
-			failed = c.writeResponse(response.parts) != nil
-		}
-		if failed {
+		if !failed && c.writeResponse(response.parts) != nil {
+			failed = true
 			c.close()
 		}
 		c.release(response)
--- a/internal/msgpackrpc/unread_test.go
+++ b/internal/msgpackrpc/unread_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -283,3 +284,21 @@
 		t.Error("connection still open")
 	}
 }
+
+// Guards against a connection that is counted once for each response that it drops after a failed write.
+func TestFailedWriteCountsItsConnectionOnce(t *testing.T) {
+	local, remote := net.Pipe()
+	remote.Close()
+	server := &Server{Clock: clock.NewFake(1000)}
+	c := newConn(server, local)
+	for range 3 {
+		if err := c.enqueueBytes([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(c.queue)
+	c.write()
+	if closes := server.Stats().UnreadCloses; closes != 1 {
+		t.Errorf("%d connections counted, want 1", closes)
+	}
+}
