--- a/internal/msgpackrpc/departed.go
+++ b/internal/msgpackrpc/departed.go
@@ -61,13 +61,11 @@
 	}
 	state := socketEmpty
 	err = raw.Control(func(fd uintptr) {
-		if hasEnded(fd) {
-			state = socketClosed
-			return
-		}
 		var first [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
+		case n > 0 && hasEnded(fd):
+			state = socketClosed
 		case n > 0:
 			state = socketHasData
 		case err == nil, err == syscall.ECONNRESET, err == syscall.EPIPE, err == syscall.ETIMEDOUT:
